--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+SHELL := /bin/bash
+BIN := bin
+LINT := $(BIN)/golangci-lint
+
+.PHONY: build test lint bench demo generate fuzz clean
+
+build: ## builds the programs into bin/
+	go build -o $(BIN)/ ./cmd/...
+
+$(LINT): tools/go.mod tools/go.sum
+	cd tools && go build -o ../$(LINT) github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+lint: $(LINT) ## checks format and lint rules
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+test: lint ## format, lint, vet, build, all tests
+	go vet ./...
+	$(MAKE) build
+	go test ./...
+
+bench: ## the decisions' measures beside their baselines, in one table
+	go run ./cmd/bench
+
+demo: build ## a small fleet as separate processes on loopback
+	$(BIN)/standin demo --bin $(BIN)
+
+generate: ## regenerates the protobuf code (needs protoc)
+	cd tools && go build -o ../$(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=github.com/kumquatshelf/kumquatshelf internal/wire/peerpb/peer.proto
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/core/fleet/attempt.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// AttemptID identifies one attempt to run a request at one upstream.
+// An ingress never reuses a Sequence within an Incarnation.
+type AttemptID struct {
+	// Ingress is the name of the daemon that created the attempt.
+	Ingress     string
+	Incarnation uint64
+	Sequence    uint64
+}
+
+// String returns the form used in logs and refusals.
+func (id AttemptID) String() string {
+	return fmt.Sprintf("%s/%d/%d", id.Ingress, id.Incarnation, id.Sequence)
+}
+
+// Request is the part of a caller's request that reaches the upstream.
+// It never contains the caller's key.
+type Request struct {
+	Method string
+	Host   string
+	// Target is the path with the query, as on the request line.
+	Target string
+	Header http.Header
+	Body   []byte
+}
+
+// Attempt is a request on its way to one upstream.
+type Attempt struct {
+	ID AttemptID
+	// EgressIncarnation is the incarnation of the daemon it is meant for;
+	// any other incarnation refuses it as not run. Zero matches any.
+	EgressIncarnation uint64
+	Service           string
+	Upstream          string
+	ClientAccount     string
+	// Weight is the client account's share in fair queueing, at least 1.
+	Weight     int
+	Idempotent bool
+	// IdempotencyKey is the caller's own key, or empty.
+	IdempotencyKey string
+	// Budget is the time left until the request's deadline when it was sent.
+	Budget  time.Duration
+	Request Request
+}
+
+// Outcome says what is known about a request having run.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	// Unknown means that the request may or may not have run.
+	Unknown Outcome = iota
+	// NotRun means that the request has not run and never will.
+	NotRun
+	// Ran means that the upstream answered.
+	Ran
+)
+
+// String returns the outcome's name as it stands in answers to callers.
+func (o Outcome) String() string {
+	switch o {
+	case NotRun:
+		return "NotRun"
+	case Ran:
+		return "Ran"
+	case Unknown:
+		return "Unknown"
+	}
+
+	return "Invalid"
+}
+
+// Reason classifies a refusal or failure.
+type Reason string
+
+// Reasons for refusals and failures.
+const (
+	ReasonNone        Reason = ""
+	ReasonBadRequest  Reason = "BadRequest"
+	ReasonTooLarge    Reason = "TooLarge"
+	ReasonNoKey       Reason = "NoKey"
+	ReasonBadKey      Reason = "BadKey"
+	ReasonNoRoute     Reason = "NoRoute"
+	ReasonLimit       Reason = "Limit"
+	ReasonLimitAway   Reason = "LimitAway" // no granter reached within the deadline
+	ReasonIsolated    Reason = "Isolated"
+	ReasonNotReady    Reason = "NotReady" // the daemon has no configuration yet
+	ReasonStopping    Reason = "Stopping"
+	ReasonNoUpstream  Reason = "NoUpstream"
+	ReasonDraining    Reason = "Draining"
+	ReasonShed        Reason = "Shed"
+	ReasonQueueFull   Reason = "QueueFull"
+	ReasonDeadline    Reason = "Deadline"
+	ReasonCancelled   Reason = "Cancelled"
+	ReasonStale       Reason = "Stale" // wrong incarnation, or below the watermark
+	ReasonUnreachable Reason = "Unreachable"
+	ReasonTruncated   Reason = "Truncated"
+	ReasonUpstream    Reason = "Upstream" // the upstream failed without an answer
+	ReasonUpgrade     Reason = "Upgrade"
+)
+
+// Answer is an upstream's answer. Whoever receives it closes Body.
+// Body returns io.ErrUnexpectedEOF when the upstream's answer was cut short.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Body    io.ReadCloser
+	Trailer func() http.Header
+}
+
+// Reply is the result of an attempt, or of a caller's whole request.
+// Answer is set only if Outcome is Ran.
+type Reply struct {
+	Outcome Outcome
+	Reason  Reason
+	// Detail is for people; it never contains a key.
+	Detail string
+	ID     AttemptID
+	// Idempotent says that the route allows the caller to repeat the request.
+	Idempotent bool
+	// RetryAfter is set on refusals that pass by themselves.
+	RetryAfter time.Duration
+	Answer     Answer
+	Load       Load
+	// Served is the time from start to answer at the upstream, by the egress.
+	Served time.Duration
+}
+
+// Refuse returns a reply for a request that has not run.
+func Refuse(reason Reason, detail string) Reply {
+	return Reply{Outcome: NotRun, Reason: reason, Detail: detail}
+}
+
+// Fail returns a reply for a request that may have run.
+func Fail(reason Reason, detail string) Reply {
+	return Reply{Outcome: Unknown, Reason: reason, Detail: detail}
+}
+
+// CancelResult is the egress's answer to a cancel.
+type CancelResult int
+
+// Results of a cancel.
+const (
+	// CancelUnknown means that no confirmation was received.
+	CancelUnknown CancelResult = iota
+	// CancelNotRun confirms that the attempt has not run and never will.
+	CancelNotRun
+	// CancelStarted means that the attempt had started.
+	CancelStarted
+)
+
+// CallResult is how a call to a local upstream ended.
+type CallResult int
+
+// Results of a call to an upstream.
+const (
+	// CallAnswered means that an answer's head was received.
+	CallAnswered CallResult = iota
+	// CallNotSent means that no byte of the request left the daemon.
+	CallNotSent
+	// CallShed means that the upstream refused the request without running it.
+	CallShed
+	// CallFailed means that the request was sent and no answer came.
+	CallFailed
+	// CallTimedOut means that the deadline passed after the request was sent.
+	CallTimedOut
+)
+
+// CallerRequest is a request as it came from a caller, with its key.
+type CallerRequest struct {
+	Request Request
+	// Key is the caller's key, or empty.
+	Key string
+	// Arrived is when its head had been read.
+	Arrived time.Time
+	// Deadline is the caller's own, or zero.
+	Deadline time.Time
+}
--- /dev/null
+++ b/internal/core/fleet/configuration.go
@@ -0,0 +1,86 @@
+package fleet
+
+import "time"
+
+// Floor is the least healthy capacity of a service that ejection must leave.
+// Exactly one of its fields is set.
+type Floor struct {
+	// Percent is of the service's announced slots, 1 to 100.
+	Percent int
+	Slots   int
+}
+
+// Service is a set of upstreams that serve the same requests.
+type Service struct {
+	Name  string
+	Floor Floor
+	// Deadline bounds the time a caller's request may take, unless the caller
+	// asks for less.
+	Deadline time.Duration
+	// DetectionThreshold is the evidence, in nats, that ejects an upstream.
+	// A lower value detects earlier and ejects more healthy upstreams.
+	DetectionThreshold float64
+}
+
+// Route sends requests with a host, path prefix and method to a service.
+type Route struct {
+	Name       string
+	Team       string
+	Service    string
+	Host       string
+	PathPrefix string
+	Methods    []string
+	// Idempotent says that a request may run more than once.
+	Idempotent bool
+	// Open says that the route needs no key.
+	Open bool
+}
+
+// ClientAccount is a tenant that calls through the fleet.
+type ClientAccount struct {
+	Name string
+	Team string
+	// Rate is in requests per second over the whole fleet.
+	Rate float64
+	// Burst is the number of requests that may come at once, at least 1.
+	Burst int
+}
+
+// Team is the content of one team file.
+type Team struct {
+	Name           string
+	Services       []Service
+	Routes         []Route
+	ClientAccounts []ClientAccount
+}
+
+// Configuration is one published version of all team files.
+// It is immutable once installed.
+type Configuration struct {
+	Version        uint64
+	Services       map[string]Service
+	Routes         []Route
+	ClientAccounts map[string]ClientAccount
+}
+
+// TakeOutcome is the result of asking for one token of a client account.
+type TakeOutcome int
+
+// Outcomes of asking for a token.
+const (
+	// Taken means that the request may run.
+	Taken TakeOutcome = iota
+	// OverLimit means that the client account is above its rate and burst.
+	OverLimit
+	// GranterAway means that no granter answered before the deadline.
+	GranterAway
+	// UnknownClientAccount means that the configuration has no such account.
+	UnknownClientAccount
+)
+
+// Take is the answer to a request for one token.
+type Take struct {
+	Outcome TakeOutcome
+	// RetryAfter estimates when a token will be available.
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/internal/core/fleet/upstream.go
@@ -0,0 +1,71 @@
+// Package fleet holds the value types that the other packages share.
+package fleet
+
+import (
+	"net/netip"
+	"time"
+)
+
+// UpstreamState is what an upstream announces about itself.
+type UpstreamState int
+
+// States of an upstream.
+const (
+	// Warming marks an upstream in its cold start.
+	Warming UpstreamState = iota
+	// Ready marks an upstream that takes its full share.
+	Ready
+	// Shedding marks an upstream that refuses part of its work.
+	Shedding
+	// Draining marks an upstream that takes no new work.
+	Draining
+)
+
+// String returns the state's name as it stands in announcements.
+func (s UpstreamState) String() string {
+	switch s {
+	case Warming:
+		return "Warming"
+	case Ready:
+		return "Ready"
+	case Shedding:
+		return "Shedding"
+	case Draining:
+		return "Draining"
+	}
+
+	return "Invalid"
+}
+
+// ParseUpstreamState returns the state with the given name.
+func ParseUpstreamState(name string) (UpstreamState, bool) {
+	for s := Warming; s <= Draining; s++ {
+		if s.String() == name {
+			return s, true
+		}
+	}
+
+	return 0, false
+}
+
+// Upstream is one instance of a service behind a daemon.
+type Upstream struct {
+	// Name is unique in the fleet.
+	Name    string
+	Service string
+	// Address is where the upstream's own daemon calls it.
+	Address netip.AddrPort
+	// Slots is the number of requests it runs at once.
+	Slots int
+	State UpstreamState
+	// StateSince is when the owning daemon saw the state begin, by its clock.
+	StateSince time.Time
+}
+
+// Load is the egress's view of an upstream, carried on every answer.
+type Load struct {
+	InFlight int
+	Queued   int
+	Slots    int
+	State    UpstreamState
+}
--- /dev/null
+++ b/internal/wire/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the generated protobuf messages between daemons.
+package peerpb
