--- a/internal/core/fleet/attempt.go
+++ b/internal/core/fleet/attempt.go
@@ -39,8 +39,10 @@
 	// any other incarnation refuses it as not run. Zero matches any.
 	EgressIncarnation uint64
 	Service           string
-	Upstream          string
-	ClientAccount     string
+	// Route is the name of the matched route.
+	Route         string
+	Upstream      string
+	ClientAccount string
 	// Weight is the client account's share in fair queueing, at least 1.
 	Weight     int
 	Idempotent bool
