Add the ingress: routing, choice of upstream, key check, forwarding

Cause: callers need an entry that checks keys, spends tokens, chooses an upstream and retries only what is safe.

--- /dev/null
+++ b/internal/adapter/caller/answer.go
@@ -0,0 +1,174 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBuffer)
+
+	return &b
+}}
+
+// statuses are the HTTP statuses of refusals that have not run.
+var statuses = map[fleet.Reason]int{
+	fleet.ReasonBadRequest: http.StatusBadRequest,
+	fleet.ReasonTooLarge:   http.StatusRequestEntityTooLarge,
+	fleet.ReasonNoKey:      http.StatusUnauthorized,
+	fleet.ReasonBadKey:     http.StatusUnauthorized,
+	fleet.ReasonNoRoute:    http.StatusNotFound,
+	fleet.ReasonLimit:      http.StatusTooManyRequests,
+	fleet.ReasonUpgrade:    http.StatusNotImplemented,
+	fleet.ReasonDeadline:   http.StatusGatewayTimeout,
+}
+
+func listenError(address netip.AddrPort, err error) error {
+	return fmt.Errorf("listen for callers on %s: %w", address, err)
+}
+
+// refuse answers a request that got no answer from an upstream.
+func (f *Front) refuse(c echo.Context, reply fleet.Reply) error {
+	status := http.StatusServiceUnavailable
+
+	switch s, ok := statuses[reply.Reason]; {
+	case reply.Outcome == fleet.Unknown && reply.Reason == fleet.ReasonDeadline:
+		status = http.StatusGatewayTimeout
+	case reply.Outcome == fleet.Unknown:
+		status = http.StatusBadGateway
+	case ok:
+		status = s
+	}
+
+	header := c.Response().Header()
+	header.Set(OutcomeHeader, reply.Outcome.String())
+
+	if reply.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int((reply.RetryAfter+time.Second-1)/time.Second)))
+	}
+
+	if status == http.StatusUnauthorized {
+		header.Set("Www-Authenticate", "Bearer")
+	}
+
+	attempt := ""
+	if reply.ID.Ingress != "" {
+		attempt = reply.ID.String()
+	}
+
+	if err := c.JSON(status, struct {
+		Outcome   string
+		Reason    string
+		Detail    string
+		AttemptID string
+	}{reply.Outcome.String(), string(reply.Reason), reply.Detail, attempt}); err != nil {
+		return fmt.Errorf("write refusal: %w", err)
+	}
+
+	return nil
+}
+
+// answer passes on an upstream's answer. If it breaks off, the connection is
+// aborted, so that the caller cannot take the part for the whole.
+func (f *Front) answer(w http.ResponseWriter, reply fleet.Reply) {
+	defer func() { _ = reply.Answer.Body.Close() }()
+
+	header := w.Header()
+	removeHopHeaders(reply.Answer.Header)
+	maps.Copy(header, reply.Answer.Header)
+	header.Set(OutcomeHeader, fleet.Ran.String())
+	w.WriteHeader(reply.Answer.Status)
+
+	buffer, _ := buffers.Get().(*[]byte)
+	defer buffers.Put(buffer)
+
+	stream := reply.Answer.Header.Get("Content-Length") == ""
+
+	if err := copyBody(w, reply.Answer.Body, *buffer, stream); err != nil {
+		f.metrics.Add("AnswersAborted", 1)
+		f.log.Debug("answer aborted", "attempt", reply.ID.String(), "error", err)
+		panic(http.ErrAbortHandler)
+	}
+
+	if reply.Answer.Trailer == nil {
+		return
+	}
+
+	for name, values := range reply.Answer.Trailer() {
+		header[http.TrailerPrefix+name] = values
+	}
+}
+
+// copyBody copies to w, flushing each part of a stream of unknown length.
+func copyBody(w http.ResponseWriter, body io.Reader, buffer []byte, stream bool) error {
+	controller := http.NewResponseController(w)
+
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if _, werr := w.Write(buffer[:n]); werr != nil {
+				return fmt.Errorf("write to the caller: %w", werr)
+			}
+
+			if stream && err == nil {
+				_ = controller.Flush()
+			}
+		}
+
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+
+		if err != nil {
+			return fmt.Errorf("read the answer: %w", err)
+		}
+	}
+}
+
+func removeHopHeaders(header http.Header) {
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// handleError answers what echo itself refuses.
+func (f *Front) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+
+	reason := fleet.ReasonBadRequest
+
+	var httpError *echo.HTTPError
+	if errors.As(err, &httpError) && slices.Contains([]int{http.StatusNotFound, http.StatusMethodNotAllowed}, httpError.Code) {
+		reason = fleet.ReasonNoRoute
+	}
+
+	if err := f.refuse(c, fleet.Refuse(reason, err.Error())); err != nil {
+		f.log.Debug("refusal not written", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/adapter/caller/front.go
@@ -0,0 +1,177 @@
+// Package caller speaks HTTP to callers.
+package caller
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
+)
+
+const (
+	// OutcomeHeader tells callers whether their request ran.
+	OutcomeHeader = "Kumquatshelf-Outcome"
+	// TimeoutHeader lets callers ask for a shorter deadline, as a duration.
+	TimeoutHeader = "Kumquatshelf-Timeout"
+
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxKeyBytes       = 256
+	copyBuffer        = 32 << 10
+)
+
+// Forwarder runs requests. The caller of Forward closes the answer's body.
+type Forwarder interface {
+	Forward(ctx context.Context, request fleet.CallerRequest) fleet.Reply
+}
+
+// Bounds limit what a caller may send.
+type Bounds struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+}
+
+// Front accepts callers on one address, with HTTP/1.1 and HTTP/2 without TLS.
+type Front struct {
+	forwarder Forwarder
+	bounds    Bounds
+	log       *slog.Logger
+	metrics   *expvar.Map
+	server    *http.Server
+	listener  net.Listener
+}
+
+// New starts accepting callers on address. The clean-up function closes the
+// listener and all connections; call Stop before it for a planned stop.
+func New(
+	address netip.AddrPort, forwarder Forwarder, bounds Bounds, log *slog.Logger, metrics *expvar.Map,
+) (*Front, func(), error) {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, nil, listenError(address, err)
+	}
+
+	f := &Front{forwarder: forwarder, bounds: bounds, log: log, metrics: metrics, listener: listener}
+
+	router := echo.New()
+	router.HideBanner, router.HidePort = true, true
+	router.HTTPErrorHandler = f.handleError
+	router.Any("/*", f.handle)
+
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+
+	f.server = &http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    bounds.MaxHeaderBytes,
+		Protocols:         protocols,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+
+	go func() {
+		if err := f.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("caller listener ended", "error", err)
+		}
+	}()
+
+	return f, func() { _ = f.server.Close() }, nil
+}
+
+// Address returns the address that callers connect to.
+func (f *Front) Address() netip.AddrPort {
+	return f.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Stop refuses new connections and waits for requests in flight until ctx ends.
+func (f *Front) Stop(ctx context.Context) {
+	if err := f.server.Shutdown(ctx); err != nil {
+		f.log.Warn("caller connections remained at shutdown", "error", err)
+	}
+}
+
+func (f *Front) handle(c echo.Context) error {
+	arrived := time.Now()
+	r := c.Request()
+
+	request, refusal := f.read(c.Response(), r)
+	if refusal.Reason != fleet.ReasonNone {
+		f.metrics.Add("BadRequests", 1)
+
+		return f.refuse(c, refusal)
+	}
+
+	request.Arrived = arrived
+
+	reply := f.forwarder.Forward(r.Context(), request)
+	if reply.Outcome != fleet.Ran {
+		return f.refuse(c, reply)
+	}
+
+	f.answer(c.Response(), reply)
+
+	return nil
+}
+
+// read checks a request's form and reads its body.
+func (f *Front) read(w http.ResponseWriter, r *http.Request) (fleet.CallerRequest, fleet.Reply) {
+	var request fleet.CallerRequest
+
+	if r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect {
+		return request, fleet.Refuse(fleet.ReasonUpgrade, "connection upgrades are not supported")
+	}
+
+	key, single := keys.FromHeader(r.Header)
+	if !single {
+		return request, fleet.Refuse(fleet.ReasonBadRequest, "the request carries more than one key")
+	}
+
+	if len(key) > maxKeyBytes {
+		return request, fleet.Refuse(fleet.ReasonBadRequest, "the key is longer than 256 bytes")
+	}
+
+	if text := r.Header.Get(TimeoutHeader); text != "" {
+		timeout, err := time.ParseDuration(text)
+		if err != nil || timeout <= 0 {
+			return request, fleet.Refuse(fleet.ReasonBadRequest,
+				TimeoutHeader+" is not a positive duration such as 800ms")
+		}
+
+		request.Deadline = time.Now().Add(timeout)
+	}
+
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.bounds.MaxBodyBytes))
+
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return request, fleet.Refuse(fleet.ReasonTooLarge,
+			"the body is larger than "+strconv.FormatInt(f.bounds.MaxBodyBytes, 10)+" bytes")
+	}
+
+	if err != nil {
+		return request, fleet.Refuse(fleet.ReasonBadRequest, "the body ended early")
+	}
+
+	removeHopHeaders(r.Header)
+	r.Header.Del(TimeoutHeader)
+
+	request.Key = key
+	request.Request = fleet.Request{
+		Method: r.Method, Host: r.Host, Target: r.URL.RequestURI(), Header: r.Header, Body: body,
+	}
+
+	return request, fleet.Reply{}
+}
--- /dev/null
+++ b/internal/core/balance/candidate.go
@@ -0,0 +1,33 @@
+// Package balance chooses the upstream for an attempt and bounds extra attempts.
+package balance
+
+import (
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+// Candidate is an upstream as the ingress knows it from membership and the
+// ejection arbiter.
+type Candidate struct {
+	Upstream string
+	Daemon   string
+	// EgressIncarnation is that of Daemon.
+	EgressIncarnation uint64
+	// SameZone says that it is in the ingress's own availability zone.
+	SameZone   bool
+	Slots      int
+	State      fleet.UpstreamState
+	StateSince time.Time
+	Ejected    bool
+	Probation  bool
+}
+
+// Request is what matters about a request for the choice.
+type Request struct {
+	Idempotent bool
+	// IdempotencyOwner orders candidates by rendezvous hash, if not empty.
+	IdempotencyOwner string
+	// Tried lists the upstreams of earlier attempts, which come last.
+	Tried []string
+}
--- /dev/null
+++ b/internal/core/balance/tracker.go
@@ -0,0 +1,129 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+const (
+	// latencyDecay is the time after which an old latency weighs 1/e.
+	latencyDecay = 2 * time.Second
+	// loadLifetime is how long a load carried on an answer is believed; later
+	// only the ingress's own requests in flight count.
+	loadLifetime = time.Second
+	// pathBackoff is the first pause after an egress was not reached. It
+	// doubles up to maxPathBackoff.
+	pathBackoff    = 500 * time.Millisecond
+	maxPathBackoff = 15 * time.Second
+)
+
+// stats is what the ingress has seen of one upstream.
+type stats struct {
+	inFlight int
+	load     fleet.Load
+	loadAt   time.Time
+	// latency is a peak-sensitive moving average in seconds.
+	latency    float64
+	latencyAt  time.Time
+	pathErrors int
+	avoidUntil time.Time
+}
+
+// Tracker keeps what an ingress has seen of upstreams. It is not safe for
+// concurrent use.
+type Tracker struct {
+	upstreams map[string]*stats
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker {
+	return &Tracker{upstreams: make(map[string]*stats)}
+}
+
+// Started counts an attempt as in flight.
+func (t *Tracker) Started(upstream string) {
+	t.of(upstream).inFlight++
+}
+
+// Abandoned ends an attempt that says nothing about the upstream.
+func (t *Tracker) Abandoned(upstream string) {
+	s := t.of(upstream)
+	s.inFlight = max(0, s.inFlight-1)
+}
+
+// Finished ends an attempt that got a response from the egress. A response
+// without an answer has latency 0 and leaves the average alone.
+func (t *Tracker) Finished(upstream string, load fleet.Load, latency time.Duration, now time.Time) {
+	s := t.of(upstream)
+	s.inFlight = max(0, s.inFlight-1)
+	s.pathErrors, s.avoidUntil = 0, time.Time{}
+
+	if load.Slots > 0 {
+		s.load, s.loadAt = load, now
+	}
+
+	if latency <= 0 {
+		return
+	}
+
+	seconds := latency.Seconds()
+	if s.latencyAt.IsZero() || seconds > s.latency {
+		// Peaks count at once, so that a slowing upstream loses traffic
+		// with its first slow answer (peak EWMA).
+		s.latency = (s.latency + seconds) / 2
+		if s.latencyAt.IsZero() {
+			s.latency = seconds
+		}
+	} else {
+		weight := math.Exp(-now.Sub(s.latencyAt).Seconds() / latencyDecay.Seconds())
+		s.latency = s.latency*weight + seconds*(1-weight)
+	}
+
+	s.latencyAt = now
+}
+
+// Unreached ends an attempt whose egress did not respond, and avoids the path
+// for a while that doubles with each failure in a row.
+func (t *Tracker) Unreached(upstream string, now time.Time) {
+	s := t.of(upstream)
+	s.inFlight = max(0, s.inFlight-1)
+
+	pause := min(pathBackoff<<min(s.pathErrors, 10), maxPathBackoff)
+	s.pathErrors++
+	s.avoidUntil = now.Add(pause)
+}
+
+// Forget drops upstreams for which keep reports false.
+func (t *Tracker) Forget(keep func(upstream string) bool) {
+	for name := range t.upstreams {
+		if !keep(name) {
+			delete(t.upstreams, name)
+		}
+	}
+}
+
+func (t *Tracker) of(upstream string) *stats {
+	s := t.upstreams[upstream]
+	if s == nil {
+		s = &stats{}
+		t.upstreams[upstream] = s
+	}
+
+	return s
+}
+
+// depth is the number of requests before or in the upstream's slots.
+func (s *stats) depth(now time.Time) int {
+	if now.Sub(s.loadAt) > loadLifetime {
+		return s.inFlight
+	}
+
+	// The load was taken while the answered attempt was still counted.
+	return max(s.inFlight, s.load.InFlight+s.load.Queued-1)
+}
+
+func (s *stats) avoided(now time.Time) bool {
+	return now.Before(s.avoidUntil)
+}
--- /dev/null
+++ b/internal/core/keys/scrub.go
@@ -0,0 +1,156 @@
+package keys
+
+import (
+	"bytes"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+// HeaderName is the header that carries a key if Authorization does not.
+const HeaderName = "Kumquatshelf-Key"
+
+const (
+	authorization      = "Authorization"
+	proxyAuthorization = "Proxy-Authorization"
+	bearer             = "bearer "
+)
+
+// maxDecodings bounds how often a value is percent-decoded when searching it
+// for the key. Upstreams commonly decode once, some gateways twice.
+const maxDecodings = 3
+
+// FromHeader returns the key in header. It reports false if the header names
+// more than one key, since it would be unclear on whose behalf the request runs.
+func FromHeader(header http.Header) (string, bool) {
+	var found []string
+
+	for _, value := range header.Values(authorization) {
+		if len(value) > len(bearer) && strings.EqualFold(value[:len(bearer)], bearer) {
+			found = append(found, strings.TrimSpace(value[len(bearer):]))
+		}
+	}
+
+	for _, value := range header.Values(HeaderName) {
+		found = append(found, strings.TrimSpace(value))
+	}
+
+	switch len(found) {
+	case 0:
+		return "", true
+	case 1:
+		return found[0], true
+	}
+
+	return "", false
+}
+
+// Scrub removes the key from everything in request that can be changed without
+// changing its meaning, and reports false if it stands in the path or body.
+// The authorization headers are always removed.
+func Scrub(request *fleet.Request, key string) bool {
+	header := request.Header
+	header.Del(authorization)
+	header.Del(proxyAuthorization)
+	header.Del(HeaderName)
+
+	if key == "" {
+		return true
+	}
+
+	scrubHeader(header, key)
+
+	path, query, hasQuery := strings.Cut(request.Target, "?")
+	if contains(path, key) || bytes.Contains(request.Body, []byte(key)) || contains(request.Host, key) {
+		return false
+	}
+
+	if hasQuery && contains(query, key) {
+		request.Target = path
+		if kept := scrubQuery(query, key); kept != "" {
+			request.Target += "?" + kept
+		}
+	}
+
+	return true
+}
+
+// ScrubTrailer removes fields of a request's trailer that contain the key.
+func ScrubTrailer(trailer http.Header, key string) {
+	if key != "" {
+		scrubHeader(trailer, key)
+	}
+}
+
+func scrubHeader(header http.Header, key string) {
+	for name, values := range header {
+		if name == "Cookie" {
+			scrubCookies(header, values, key)
+
+			continue
+		}
+
+		for _, value := range values {
+			if contains(value, key) || contains(name, key) {
+				delete(header, name)
+
+				break
+			}
+		}
+	}
+}
+
+func scrubCookies(header http.Header, values []string, key string) {
+	var kept []string
+
+	for _, value := range values {
+		for cookie := range strings.SplitSeq(value, ";") {
+			if cookie = strings.TrimSpace(cookie); cookie != "" && !contains(cookie, key) {
+				kept = append(kept, cookie)
+			}
+		}
+	}
+
+	if len(kept) == 0 {
+		header.Del("Cookie")
+
+		return
+	}
+
+	header["Cookie"] = []string{strings.Join(kept, "; ")}
+}
+
+func scrubQuery(query, key string) string {
+	var kept []string
+
+	for parameter := range strings.SplitSeq(query, "&") {
+		if !contains(parameter, key) {
+			kept = append(kept, parameter)
+		}
+	}
+
+	return strings.Join(kept, "&")
+}
+
+// contains reports whether text contains key, as it stands, in another letter
+// case (header names are canonicalised on the way) or percent-encoded.
+func contains(text, key string) bool {
+	lowerKey := strings.ToLower(key)
+
+	for range maxDecodings {
+		if strings.Contains(strings.ToLower(text), lowerKey) {
+			return true
+		}
+
+		decoded, err := url.QueryUnescape(text)
+		if err != nil || decoded == text {
+			return false
+		}
+
+		text = decoded
+	}
+
+	return strings.Contains(strings.ToLower(text), lowerKey)
+}
--- /dev/null
+++ b/internal/daemon/ingress/dispatch.go
@@ -0,0 +1,371 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/balance"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+const (
+	// maxAttempts bounds the upstreams that one request is sent to.
+	maxAttempts = 4
+	// cancelTimeout is how long a confirmation of a cancel is waited for,
+	// which is the time an answer may come after the request's deadline.
+	cancelTimeout = 200 * time.Millisecond
+	// noUpstreamPause is the pause before looking again when a service has
+	// no upstream, so that a request survives the moment of a takeover.
+	noUpstreamPause = 50 * time.Millisecond
+	// idempotencyHeader is the caller's own name for a request.
+	idempotencyHeader = "Idempotency-Key"
+)
+
+// job is a request that passed the key check and the limits.
+type job struct {
+	route    fleet.Route
+	account  fleet.ClientAccount
+	request  fleet.Request
+	deadline time.Time
+}
+
+// attemptResult is a finished attempt.
+type attemptResult struct {
+	candidate balance.Candidate
+	reply     fleet.Reply
+}
+
+// dispatcher sends one request to upstreams until one answers.
+type dispatcher struct {
+	*Ingress
+	job
+	ctx     context.Context
+	results chan attemptResult
+	running map[string]context.CancelFunc
+	tried   []string
+	// last is the most telling result so far: Unknown goes before NotRun.
+	last fleet.Reply
+	// failed is an upstream's own error answer, kept for the case that no
+	// other upstream does better.
+	failed *fleet.Reply
+}
+
+func (in *Ingress) dispatch(ctx context.Context, j job) fleet.Reply {
+	// The deadline bounds the time to the start of the answer. A long answer
+	// may run on.
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(time.Until(j.deadline), cancel)
+
+	d := &dispatcher{
+		Ingress: in, job: j, ctx: ctx,
+		// Every attempt can deliver its result without a reader.
+		results: make(chan attemptResult, maxAttempts),
+		running: make(map[string]context.CancelFunc),
+		last:    fleet.Refuse(fleet.ReasonNoUpstream, "the service has no upstream that takes requests"),
+	}
+	in.choices.request(j.route.Service)
+
+	reply := d.run()
+	if !timer.Stop() || reply.Outcome != fleet.Ran {
+		cancel()
+	}
+
+	if reply.Outcome == fleet.Ran {
+		reply.Answer.Body = &tracked{ReadCloser: reply.Answer.Body, done: cancel}
+	}
+
+	return reply
+}
+
+func (d *dispatcher) run() fleet.Reply {
+	defer d.dropOthers()
+
+	for {
+		if len(d.running) == 0 && !d.next() {
+			if d.failed != nil {
+				return *d.failed
+			}
+
+			return d.last
+		}
+
+		select {
+		case result := <-d.results:
+			delete(d.running, result.candidate.Upstream)
+
+			if d.settle(result) {
+				d.dropFailed()
+
+				return result.reply
+			}
+		case <-d.hedge():
+			if d.choices.spendHedge(d.route.Service) {
+				d.Metrics.Add("Hedges", 1)
+				d.start()
+			}
+		}
+	}
+}
+
+// next starts the next attempt, waiting for an upstream if there is none. It
+// reports false when the request has to be given up.
+func (d *dispatcher) next() bool {
+	for len(d.tried) < maxAttempts && d.ctx.Err() == nil && d.mayRetry() {
+		if d.start() {
+			return true
+		}
+
+		select {
+		case <-time.After(noUpstreamPause):
+		case <-d.ctx.Done():
+		}
+	}
+
+	if d.last.Outcome == fleet.NotRun && d.ctx.Err() != nil && len(d.tried) > 0 {
+		d.last = fleet.Refuse(fleet.ReasonDeadline, "the deadline passed before the request was run")
+	}
+
+	return false
+}
+
+// mayRetry reports whether another attempt is safe and allowed.
+func (d *dispatcher) mayRetry() bool {
+	if len(d.tried) == 0 {
+		return true
+	}
+
+	if d.last.Outcome == fleet.Unknown && !d.route.Idempotent {
+		return false
+	}
+
+	switch d.last.Reason { //nolint:exhaustive // other reasons mean that the upstream was not troubled
+	case fleet.ReasonTooLarge, fleet.ReasonBadRequest:
+		return false
+	case fleet.ReasonDraining, fleet.ReasonStopping, fleet.ReasonStale, fleet.ReasonNoUpstream,
+		fleet.ReasonQueueFull, fleet.ReasonDeadline:
+		if d.last.Outcome == fleet.NotRun {
+			return true
+		}
+	case fleet.ReasonUnreachable:
+		if d.last.Outcome == fleet.NotRun {
+			return true
+		}
+	}
+
+	if !d.choices.spendRetry(d.route.Service) {
+		d.Metrics.Add("RetryBudgetEmpty", 1)
+
+		return false
+	}
+
+	return true
+}
+
+// start chooses an upstream and begins an attempt at it.
+func (d *dispatcher) start() bool {
+	request := balance.Request{Idempotent: d.route.Idempotent, Tried: d.tried}
+
+	key := d.request.Header.Get(idempotencyHeader)
+	if key != "" && !d.route.Idempotent {
+		request.IdempotencyOwner = d.account.Name + "\x00" + key
+	}
+
+	candidate, ok := d.choices.choose(d.Candidates.Candidates(d.route.Service), request)
+	if !ok {
+		return false
+	}
+
+	ctx, cancel := context.WithCancel(d.ctx)
+	attempt := d.attempt(candidate, key)
+
+	d.tried = append(d.tried, candidate.Upstream)
+	d.running[candidate.Upstream] = cancel
+	d.Metrics.Add("Attempts", 1)
+
+	go func() {
+		d.results <- attemptResult{candidate: candidate, reply: d.try(ctx, cancel, candidate, attempt)}
+	}()
+
+	return true
+}
+
+func (d *dispatcher) attempt(candidate balance.Candidate, idempotencyKey string) fleet.Attempt {
+	return fleet.Attempt{
+		ID: fleet.AttemptID{
+			Ingress: d.Name, Incarnation: d.Incarnation, Sequence: d.sequence.Add(1),
+		},
+		EgressIncarnation: candidate.EgressIncarnation,
+		Service:           d.route.Service,
+		Route:             d.route.Name,
+		Upstream:          candidate.Upstream,
+		ClientAccount:     d.account.Name,
+		Weight:            max(1, int(d.account.Rate)),
+		Idempotent:        d.route.Idempotent,
+		IdempotencyKey:    idempotencyKey,
+		Budget:            time.Until(d.deadline),
+		Request:           d.request,
+	}
+}
+
+// try runs one attempt to its end and makes sure of its outcome.
+func (d *dispatcher) try(
+	ctx context.Context, cancel context.CancelFunc, candidate balance.Candidate, attempt fleet.Attempt,
+) fleet.Reply {
+	began := time.Now()
+	reply := d.Egress.Run(ctx, candidate.Daemon, attempt)
+	reply.ID = attempt.ID
+
+	if reply.Outcome == fleet.Ran {
+		return d.answered(cancel, candidate, reply, began)
+	}
+
+	abandoned := ctx.Err() != nil
+
+	cancel()
+
+	if reply.Outcome == fleet.Unknown && !d.route.Idempotent {
+		reply = d.confirm(candidate.Daemon, reply)
+	}
+
+	switch {
+	case abandoned && reply.Reason != fleet.ReasonUnreachable:
+		d.choices.abandoned(candidate.Upstream)
+	case reply.Reason == fleet.ReasonUnreachable:
+		d.choices.unreached(candidate.Upstream)
+		d.observe(candidate, false)
+	default:
+		d.choices.finished(d.route.Service, candidate.Upstream, reply.Load, time.Since(began), false)
+		d.observe(candidate, true)
+	}
+
+	return reply
+}
+
+// answered reads the start of an answer, so that an answer cut short is found
+// before any of it was passed on.
+func (d *dispatcher) answered(
+	cancel context.CancelFunc, candidate balance.Candidate, reply fleet.Reply, began time.Time,
+) fleet.Reply {
+	latency := time.Since(began)
+	body, whole := peek(reply.Answer)
+
+	d.choices.finished(d.route.Service, candidate.Upstream, reply.Load, latency, whole)
+	d.observe(candidate, true)
+
+	if !whole {
+		_ = body.Close()
+
+		cancel()
+		d.Metrics.Add("TruncatedAnswers", 1)
+
+		failure := fleet.Fail(fleet.ReasonTruncated, "the upstream's answer was cut short")
+		failure.ID = reply.ID
+
+		return failure
+	}
+
+	reply.Answer.Body = &tracked{ReadCloser: body, done: cancel}
+
+	return reply
+}
+
+// confirm asks the egress to cancel an attempt of unknown outcome. Only its
+// confirmation makes the attempt one that has not run.
+func (d *dispatcher) confirm(daemon string, reply fleet.Reply) fleet.Reply {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), cancelTimeout)
+	defer cancel()
+
+	if d.Egress.Cancel(ctx, daemon, reply.ID) != fleet.CancelNotRun {
+		return reply
+	}
+
+	refusal := fleet.Refuse(reply.Reason, reply.Detail+"; it was cancelled before it ran")
+	refusal.ID, refusal.Load = reply.ID, reply.Load
+
+	return refusal
+}
+
+func (d *dispatcher) observe(candidate balance.Candidate, reached bool) {
+	d.Evidence.ObservePath(fleet.PathObservation{
+		Service: d.route.Service, Upstream: candidate.Upstream, Reached: reached,
+	})
+}
+
+// settle takes a result and reports whether it ends the request.
+func (d *dispatcher) settle(result attemptResult) bool {
+	if result.reply.Outcome == fleet.Ran {
+		if !d.retryStatus(result.reply) {
+			return true
+		}
+
+		d.dropFailed()
+		d.failed = &result.reply
+		d.last = fleet.Fail(fleet.ReasonUpstream, "the upstream answered "+http.StatusText(result.reply.Answer.Status))
+
+		return false
+	}
+
+	if d.last.Outcome != fleet.Unknown || result.reply.Outcome == fleet.Unknown || len(d.tried) == 1 {
+		d.last = result.reply
+	}
+
+	return false
+}
+
+func (d *dispatcher) dropFailed() {
+	if d.failed != nil {
+		_ = d.failed.Answer.Body.Close()
+		d.failed = nil
+	}
+}
+
+// retryStatus reports whether an answer is better replaced by another
+// upstream's. It spends the retry budget only through mayRetry.
+func (d *dispatcher) retryStatus(reply fleet.Reply) bool {
+	if !d.route.Idempotent || len(d.tried) >= maxAttempts || time.Until(d.deadline) <= 0 {
+		return false
+	}
+
+	switch reply.Answer.Status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusInternalServerError:
+		return d.choices.hasRetry(d.route.Service)
+	}
+
+	return false
+}
+
+// hedge returns a channel that delivers when a second attempt is due.
+func (d *dispatcher) hedge() <-chan time.Time {
+	if !d.route.Idempotent || len(d.running) != 1 || len(d.tried) > 1 {
+		return nil
+	}
+
+	delay, ok := d.choices.hedgeDelay(d.route.Service)
+	if !ok {
+		return nil
+	}
+
+	return time.After(delay)
+}
+
+// dropOthers cancels the attempts that lost against a hedge and closes their
+// answers when they come.
+func (d *dispatcher) dropOthers() {
+	rest := len(d.running)
+	for _, cancel := range d.running {
+		cancel()
+	}
+
+	if rest == 0 {
+		return
+	}
+
+	go func() {
+		for range rest {
+			if result := <-d.results; result.reply.Outcome == fleet.Ran {
+				_ = result.reply.Answer.Body.Close()
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/daemon/ingress/ingress.go
@@ -0,0 +1,249 @@
+// Package ingress forwards callers' requests to upstreams through the daemons
+// beside them.
+package ingress
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/balance"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/routing"
+)
+
+// Egress runs attempts at the daemon beside an upstream.
+type Egress interface {
+	Run(ctx context.Context, daemon string, attempt fleet.Attempt) fleet.Reply
+	Cancel(ctx context.Context, daemon string, id fleet.AttemptID) fleet.CancelResult
+}
+
+// Limiter spends tokens of client accounts.
+type Limiter interface {
+	Take(ctx context.Context, clientAccount string, deadline time.Time) fleet.Take
+}
+
+// Candidates lists the upstreams of a service. The result is not modified.
+type Candidates interface {
+	Candidates(service string) []balance.Candidate
+}
+
+// Contacts tells how fresh the daemon's knowledge of keys is.
+type Contacts interface {
+	Contact() keys.Contact
+}
+
+// PathEvidence receives what the ingress learns about the way to upstreams.
+type PathEvidence interface {
+	ObservePath(observation fleet.PathObservation)
+}
+
+// Dependencies are what an ingress works with.
+type Dependencies struct {
+	// Name and Incarnation identify the daemon in attempts.
+	Name        string
+	Incarnation uint64
+	Egress      Egress
+	Limiter     Limiter
+	Candidates  Candidates
+	Contacts    Contacts
+	Evidence    PathEvidence
+	Keys        *keys.Table
+	Random      *rand.Rand
+	Log         *slog.Logger
+	Metrics     *expvar.Map
+}
+
+// routes joins a configuration with its index.
+type routes struct {
+	configuration *fleet.Configuration
+	table         *routing.Table
+}
+
+// Ingress forwards requests. It is safe for concurrent use.
+type Ingress struct {
+	Dependencies
+	routes   atomic.Pointer[routes]
+	sequence atomic.Uint64
+	running  *gate
+	streams  *streams
+	choices  *choices
+	// wake has room for one signal, since the watcher looks at all streams.
+	wake chan struct{}
+}
+
+// New returns an ingress without a configuration, and its clean-up function.
+func New(dependencies Dependencies) (*Ingress, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	in := &Ingress{
+		Dependencies: dependencies,
+		running:      newGate(),
+		streams:      newStreams(),
+		choices:      newChoices(dependencies.Random),
+		wake:         make(chan struct{}, 1),
+	}
+
+	var watcher sync.WaitGroup
+
+	watcher.Go(func() { in.watchStreams(ctx) })
+
+	return in, func() {
+		cancel()
+		watcher.Wait()
+	}
+}
+
+// Configure installs a configuration.
+func (in *Ingress) Configure(configuration *fleet.Configuration) {
+	in.routes.Store(&routes{configuration: configuration, table: routing.New(configuration.Routes)})
+}
+
+// Stop refuses new requests as not run and waits for the others until ctx ends.
+func (in *Ingress) Stop(ctx context.Context) {
+	select {
+	case <-in.running.shut():
+	case <-ctx.Done():
+	}
+}
+
+// Forward runs a caller's request and returns what is known of it. The caller
+// of Forward closes the answer's body.
+func (in *Ingress) Forward(ctx context.Context, request fleet.CallerRequest) fleet.Reply {
+	if !in.running.enter() {
+		return in.count(fleet.Refuse(fleet.ReasonStopping, "the daemon is stopping"))
+	}
+
+	reply := in.count(in.forward(ctx, request))
+	if reply.Outcome != fleet.Ran {
+		in.running.leave()
+
+		return reply
+	}
+
+	reply.Answer.Body = &tracked{ReadCloser: reply.Answer.Body, done: in.running.leave}
+
+	return reply
+}
+
+func (in *Ingress) count(reply fleet.Reply) fleet.Reply {
+	in.Metrics.Add("Requests"+reply.Outcome.String(), 1)
+
+	if reply.Reason != fleet.ReasonNone {
+		in.Metrics.Add("Reason"+string(reply.Reason), 1)
+	}
+
+	return reply
+}
+
+func (in *Ingress) forward(ctx context.Context, request fleet.CallerRequest) fleet.Reply {
+	current := in.routes.Load()
+
+	if current == nil {
+		return fleet.Refuse(fleet.ReasonNotReady, "the daemon has no configuration yet")
+	}
+
+	route, result := current.table.Match(request.Request.Method, request.Request.Host, request.Request.Target)
+	if result != routing.Matched {
+		return refuseRoute(result)
+	}
+
+	var account fleet.ClientAccount
+
+	if !route.Open {
+		var refusal fleet.Reply
+
+		account, refusal = in.authenticate(request.Key, current.configuration)
+		if refusal.Reason != fleet.ReasonNone {
+			return refusal
+		}
+	}
+
+	if !keys.Scrub(&request.Request, request.Key) {
+		return fleet.Refuse(fleet.ReasonBadRequest, "the path, host or body contains the key")
+	}
+
+	service := current.configuration.Services[route.Service]
+
+	deadline := request.Arrived.Add(service.Deadline)
+	if !request.Deadline.IsZero() && request.Deadline.Before(deadline) {
+		deadline = request.Deadline
+	}
+
+	if !route.Open {
+		if refusal := in.take(ctx, account.Name, deadline); refusal.Reason != fleet.ReasonNone {
+			return refusal
+		}
+	}
+
+	reply := in.dispatch(ctx, job{
+		route: route, account: account, request: request.Request, deadline: deadline,
+	})
+	reply.Idempotent = route.Idempotent
+
+	if reply.Outcome == fleet.Ran && !route.Open {
+		in.streams.add(keys.HashOf(request.Key), &reply)
+	}
+
+	return reply
+}
+
+func refuseRoute(result routing.Result) fleet.Reply {
+	switch result {
+	case routing.BadPath:
+		return fleet.Refuse(fleet.ReasonBadRequest, "the path has empty, dot or encoded dot segments")
+	case routing.MethodNotAllowed:
+		return fleet.Refuse(fleet.ReasonNoRoute, "no route for this path takes the method")
+	case routing.NoRoute, routing.Matched:
+	}
+
+	return fleet.Refuse(fleet.ReasonNoRoute, "no route for this host and path")
+}
+
+// authenticate finds the client account of the key. The returned reply has a
+// reason if the request is refused.
+func (in *Ingress) authenticate(key string, configuration *fleet.Configuration) (fleet.ClientAccount, fleet.Reply) {
+	if key == "" {
+		return fleet.ClientAccount{}, fleet.Refuse(fleet.ReasonNoKey, "the route needs a key")
+	}
+
+	if !keys.Fresh(time.Now(), in.Contacts.Contact()) {
+		refusal := fleet.Refuse(fleet.ReasonIsolated, "the daemon cannot learn of withdrawn keys")
+		refusal.RetryAfter = time.Second
+
+		return fleet.ClientAccount{}, refusal
+	}
+
+	name, status := in.Keys.Check(keys.HashOf(key))
+	account, known := configuration.ClientAccounts[name]
+
+	if status != keys.Given || !known {
+		return fleet.ClientAccount{}, fleet.Refuse(fleet.ReasonBadKey, "the key is not valid")
+	}
+
+	return account, fleet.Reply{}
+}
+
+func (in *Ingress) take(ctx context.Context, clientAccount string, deadline time.Time) fleet.Reply {
+	var refusal fleet.Reply
+
+	take := in.Limiter.Take(ctx, clientAccount, deadline)
+	switch take.Outcome {
+	case fleet.Taken:
+		return fleet.Reply{}
+	case fleet.OverLimit:
+		refusal = fleet.Refuse(fleet.ReasonLimit, "the client account is above its rate and burst")
+	case fleet.GranterAway:
+		refusal = fleet.Refuse(fleet.ReasonLimitAway, "no daemon could grant the client account a token in time")
+	case fleet.UnknownClientAccount:
+		refusal = fleet.Refuse(fleet.ReasonBadKey, "the key's client account is not configured")
+	}
+
+	refusal.RetryAfter = take.RetryAfter
+
+	return refusal
+}
