--- /dev/null
+++ b/internal/core/balance/choose_test.go
@@ -0,0 +1,218 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func candidates(n int) []Candidate {
+	list := make([]Candidate, n)
+	for i := range list {
+		list[i] = Candidate{Upstream: fmt.Sprintf("u%d", i), Slots: 3, State: fleet.Ready}
+	}
+
+	return list
+}
+
+// TestChooseExcludes guards against work for upstreams that must not get it,
+// and against refusing a request while any upstream could take it.
+func TestChooseExcludes(t *testing.T) {
+	t.Parallel()
+
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name    string
+		change  func(c []Candidate)
+		request Request
+		// want lists the upstreams that may be chosen.
+		want map[string]bool
+	}{
+		{
+			"ejected and draining get nothing",
+			func(c []Candidate) { c[0].Ejected, c[1].State = true, fleet.Draining },
+			Request{},
+			map[string]bool{"u2": true},
+		},
+		{
+			"all leaving", func(c []Candidate) { c[0].Ejected, c[1].Ejected, c[2].State = true, true, fleet.Draining },
+			Request{},
+			map[string]bool{},
+		},
+		{
+			"probation takes no non-idempotent request",
+			func(c []Candidate) { c[0].Probation, c[1].Ejected = true, true },
+			Request{},
+			map[string]bool{"u2": true},
+		},
+		{
+			"probation is better than a refusal",
+			func(c []Candidate) { c[0].Probation, c[1].Ejected, c[2].Ejected = true, true, true },
+			Request{},
+			map[string]bool{"u0": true},
+		},
+		{
+			"all in cold start still serve",
+			func(c []Candidate) { c[0].State, c[1].State, c[2].State = fleet.Warming, fleet.Warming, fleet.Warming },
+			Request{},
+			map[string]bool{"u0": true, "u1": true, "u2": true},
+		},
+		{
+			"tried ones come last", func([]Candidate) {},
+			Request{Tried: []string{"u0", "u2"}},
+			map[string]bool{"u1": true},
+		},
+		{
+			"tried ones come again when nothing else is left", func([]Candidate) {},
+			Request{Tried: []string{"u0", "u1", "u2"}},
+			map[string]bool{"u0": true, "u1": true, "u2": true},
+		},
+	}
+
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+
+			list := candidates(3)
+			tt.change(list)
+
+			tracker, random := NewTracker(), newRandom()
+			seen := map[string]bool{}
+
+			for range 300 {
+				if i, ok := tracker.Choose(list, tt.request, now, random); ok {
+					seen[list[i].Upstream] = true
+				}
+			}
+
+			if fmt.Sprint(seen) != fmt.Sprint(tt.want) {
+				t.Errorf("chosen: got %v, want %v", seen, tt.want)
+			}
+		})
+	}
+}
+
+// TestChooseLeavesSlowUpstream guards against a slow upstream keeping its share
+// until it is ejected. An even share of 8 upstreams would be 125 of 1,000.
+func TestChooseLeavesSlowUpstream(t *testing.T) {
+	t.Parallel()
+
+	tracker, random, list := NewTracker(), newRandom(), candidates(8)
+	now := time.Unix(1000, 0)
+	slow := 0
+
+	for range 1000 {
+		i, _ := tracker.Choose(list, Request{}, now, random)
+
+		latency := 10 * time.Millisecond
+		if i == 0 {
+			latency = 100 * time.Millisecond
+			slow++
+		}
+
+		tracker.Started(list[i].Upstream)
+		now = now.Add(time.Millisecond)
+		tracker.Finished(list[i].Upstream, fleet.Load{Slots: 3, InFlight: 1}, latency, now)
+	}
+
+	if want := 1000 / 8 / 2; slow > want {
+		t.Errorf("requests at the slow upstream: got %d, want at most %d", slow, want)
+	}
+}
+
+// TestChooseAvoidsPath guards against a one-way partition costing every
+// request a timeout.
+func TestChooseAvoidsPath(t *testing.T) {
+	t.Parallel()
+
+	tracker, random, list := NewTracker(), newRandom(), candidates(3)
+	now := time.Unix(1000, 0)
+
+	tracker.Started("u0")
+	tracker.Unreached("u0", now)
+
+	for range 100 {
+		if i, _ := tracker.Choose(list, Request{}, now.Add(pathBackoff/2), random); i == 0 {
+			t.Fatal("an upstream behind a failed path was chosen within the pause")
+		}
+	}
+
+	again := 0
+
+	for range 100 {
+		if i, _ := tracker.Choose(list, Request{}, now.Add(pathBackoff), random); i == 0 {
+			again++
+		}
+	}
+
+	if again == 0 {
+		t.Error("an upstream behind a failed path never came back")
+	}
+}
+
+// TestIdempotencyOwner guards against a repeated request going to another
+// upstream than the first one while that is still eligible.
+func TestIdempotencyOwner(t *testing.T) {
+	t.Parallel()
+
+	tracker, random, list := NewTracker(), newRandom(), candidates(8)
+	now := time.Unix(1000, 0)
+	request := Request{IdempotencyOwner: "Club\x00booking-1"}
+	first, _ := tracker.Choose(list, request, now, random)
+
+	for i := range list {
+		if i != first {
+			list[i].Ejected = i%2 == 0
+		}
+	}
+
+	for range 50 {
+		if got, _ := tracker.Choose(list, request, now, random); got != first {
+			t.Fatalf("owner: got %d, want %d", got, first)
+		}
+	}
+}
+
+// TestBudget guards against retries multiplying the load of an outage.
+func TestBudget(t *testing.T) {
+	t.Parallel()
+
+	budget := NewBudget(0.1, 10)
+	extra := 0
+
+	for range 1000 {
+		budget.Request()
+
+		for budget.Spend() {
+			extra++
+		}
+	}
+
+	if want := 10 + 100; extra > want {
+		t.Errorf("extra attempts: got %d, want at most %d", extra, want)
+	}
+}
+
+// TestQuantile guards against hedges being sent at the wrong delay.
+func TestQuantile(t *testing.T) {
+	t.Parallel()
+
+	var q Quantile
+	if _, ok := q.At(0.95); ok {
+		t.Fatal("an estimate without samples")
+	}
+
+	for i := range 400 {
+		q.Add(time.Duration(i%100+1) * time.Millisecond)
+	}
+
+	got, _ := q.At(0.95)
+	if got < 85*time.Millisecond || got > 115*time.Millisecond {
+		t.Errorf("p95: got %v, want 95 ms within a bucket", got)
+	}
+}
--- a/internal/core/keys/freshness.go
+++ b/internal/core/keys/freshness.go
@@ -3,7 +3,7 @@
 import "time"
 
 // FreshFor is how long a daemon trusts its key table after the last completed
-// exchange. With the second that running streams are given, it keeps the
+// exchange. With the grace that running streams are given, it keeps the
 // 3 seconds within which a withdrawn key must stop working.
 const FreshFor = 2 * time.Second
 
--- a/internal/daemon/ingress/streams.go
+++ b/internal/daemon/ingress/streams.go
@@ -13,10 +13,12 @@
 
 const (
 	// streamGrace is how long answers run on after their key was withdrawn.
-	streamGrace = time.Second
+	// With keys.FreshFor and two intervals it stays below the 3 seconds
+	// within which a withdrawn key must stop working.
+	streamGrace = 500 * time.Millisecond
 	// watchInterval is how often the freshness of the key table is checked
 	// for running streams.
-	watchInterval = 250 * time.Millisecond
+	watchInterval = 200 * time.Millisecond
 )
 
 // ErrKeyWithdrawn is returned by the body of an answer that was cut because
