Test the callers' front with malformed input

Cause: bad input has to end at the front with a clear answer. Change: a table of malformed requests, truncated answers over HTTP/1.1 and HTTP/2, statuses of refusals. CONNECT was answered as a missing route, now as an unsupported upgrade. Result: go test -race ./internal/adapter/caller passes; before the change the connect row showed status 404 instead of 501.

--- a/internal/adapter/caller/answer.go
+++ b/internal/adapter/caller/answer.go
@@ -168,6 +168,10 @@
 		reason = fleet.ReasonNoRoute
 	}
 
+	if c.Request().Method == http.MethodConnect {
+		reason = fleet.ReasonUpgrade
+	}
+
 	if err := f.refuse(c, fleet.Refuse(reason, err.Error())); err != nil {
 		f.log.Debug("refusal not written", "error", err)
 	}
--- /dev/null
+++ b/internal/adapter/caller/front_test.go
@@ -0,0 +1,198 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"expvar"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+type forwarder struct {
+	reply func() fleet.Reply
+	calls atomic.Int64
+	last  atomic.Pointer[fleet.CallerRequest]
+}
+
+func (f *forwarder) Forward(_ context.Context, request fleet.CallerRequest) fleet.Reply {
+	f.calls.Add(1)
+	f.last.Store(&request)
+
+	return f.reply()
+}
+
+func ran(body io.Reader, header http.Header) fleet.Reply {
+	return fleet.Reply{Outcome: fleet.Ran, Answer: fleet.Answer{Status: http.StatusOK, Header: header, Body: io.NopCloser(body)}}
+}
+
+func newFront(t *testing.T, f *forwarder) *Front {
+	t.Helper()
+
+	front, cleanUp, err := New(netip.MustParseAddrPort("127.0.0.1:0"), f,
+		Bounds{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 10}, slog.New(slog.DiscardHandler), new(expvar.Map).Init())
+	if err != nil {
+		t.Fatalf("New: %v", err)
+	}
+
+	t.Cleanup(cleanUp)
+
+	return front
+}
+
+func exchange(t *testing.T, front *Front, raw string) *http.Response {
+	t.Helper()
+
+	connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", front.Address().String())
+	if err != nil {
+		t.Fatalf("dial: %v", err)
+	}
+
+	t.Cleanup(func() { _ = connection.Close() })
+
+	if _, err := io.WriteString(connection, raw); err != nil {
+		t.Fatalf("write: %v", err)
+	}
+
+	_ = connection.(*net.TCPConn).CloseWrite()
+
+	answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatalf("read the answer: %v", err)
+	}
+
+	return answer
+}
+
+// TestBadInput guards against malformed requests reaching the ingress, and
+// against one disturbing the requests after it.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+
+	long := strings.Repeat("x", 9<<10)
+	tests := []struct {
+		name, raw  string
+		wantStatus int
+	}{
+		{"malformed request line", "GET\r\n\r\n", http.StatusBadRequest},
+		{"oversized header", "GET / HTTP/1.1\r\nHost: a\r\nX: " + long + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"oversized body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n" + long[:2000], http.StatusRequestEntityTooLarge},
+		{"half-closed body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 20\r\n\r\nabc", http.StatusBadRequest},
+		{"oversized key", "GET / HTTP/1.1\r\nHost: a\r\nKumquatshelf-Key: " + long[:300] + "\r\n\r\n", http.StatusBadRequest},
+		{"two keys", "GET / HTTP/1.1\r\nHost: a\r\nKumquatshelf-Key: a\r\nAuthorization: Bearer b\r\n\r\n", http.StatusBadRequest},
+		{"bad timeout", "GET / HTTP/1.1\r\nHost: a\r\nKumquatshelf-Timeout: soon\r\n\r\n", http.StatusBadRequest},
+		{"upgrade", "GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n", http.StatusNotImplemented},
+		{"connect", "CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n", http.StatusNotImplemented},
+	}
+
+	f := &forwarder{reply: func() fleet.Reply { return ran(strings.NewReader("ok"), http.Header{}) }}
+	front := newFront(t, f)
+
+	for _, tt := range tests {
+		answer := exchange(t, front, tt.raw)
+		if answer.StatusCode != tt.wantStatus {
+			t.Errorf("%s: got status %d, want %d", tt.name, answer.StatusCode, tt.wantStatus)
+		}
+
+		if got := f.calls.Load(); got != 0 {
+			t.Errorf("%s: got %d requests forwarded, want none", tt.name, got)
+		}
+	}
+
+	answer := exchange(t, front, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if answer.StatusCode != http.StatusOK {
+		t.Errorf("request after bad ones: got status %d, want %d", answer.StatusCode, http.StatusOK)
+	}
+}
+
+// TestTruncatedAnswer guards against part of an answer being taken for the
+// whole, with and without a declared length.
+func TestTruncatedAnswer(t *testing.T) {
+	t.Parallel()
+
+	for _, header := range []http.Header{{}, {"Content-Length": {"1000"}}} {
+		f := &forwarder{reply: func() fleet.Reply {
+			return ran(io.MultiReader(bytes.NewBufferString("half"), brokenReader{}), header.Clone())
+		}}
+		front := newFront(t, f)
+
+		for _, protocol := range []string{"HTTP/1.1", "HTTP/2"} {
+			transport := &http.Transport{Protocols: &http.Protocols{}}
+			transport.Protocols.SetHTTP1(protocol == "HTTP/1.1")
+			transport.Protocols.SetUnencryptedHTTP2(protocol == "HTTP/2")
+
+			request, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+front.Address().String()+"/", http.NoBody)
+
+			answer, err := (&http.Client{Transport: transport}).Do(request)
+			if err != nil {
+				continue // nothing was passed off as an answer
+			}
+
+			if _, err := io.ReadAll(answer.Body); err == nil {
+				t.Errorf("%s %v: got a whole answer, want an error", protocol, header)
+			}
+
+			_ = answer.Body.Close()
+		}
+	}
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// TestRefusals guards against statuses and outcomes that would make a caller
+// repeat a request that may have run.
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+
+	tests := []struct {
+		reply       fleet.Reply
+		wantStatus  int
+		wantOutcome string
+	}{
+		{fleet.Refuse(fleet.ReasonLimit, ""), 429, "NotRun"},
+		{fleet.Refuse(fleet.ReasonNoKey, ""), 401, "NotRun"},
+		{fleet.Refuse(fleet.ReasonNoRoute, ""), 404, "NotRun"},
+		{fleet.Refuse(fleet.ReasonDraining, ""), 503, "NotRun"},
+		{fleet.Refuse(fleet.ReasonDeadline, ""), 504, "NotRun"},
+		{fleet.Fail(fleet.ReasonDeadline, ""), 504, "Unknown"},
+		{fleet.Fail(fleet.ReasonLimit, ""), 502, "Unknown"},
+		{fleet.Fail(fleet.ReasonTruncated, ""), 502, "Unknown"},
+	}
+	for _, tt := range tests {
+		f := &forwarder{reply: func() fleet.Reply { return tt.reply }}
+
+		answer := exchange(t, newFront(t, f), "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		if got := answer.Header.Get(OutcomeHeader); answer.StatusCode != tt.wantStatus || got != tt.wantOutcome {
+			t.Errorf("%v %s: got %d %s, want %d %s", tt.reply.Outcome, tt.reply.Reason, answer.StatusCode, got, tt.wantStatus, tt.wantOutcome)
+		}
+	}
+}
+
+// TestHopHeaders guards against headers of one connection reaching an upstream.
+func TestHopHeaders(t *testing.T) {
+	t.Parallel()
+
+	f := &forwarder{reply: func() fleet.Reply {
+		return ran(strings.NewReader("ok"), http.Header{"Connection": {"X-B"}, "X-B": {"1"}})
+	}}
+	answer := exchange(t, newFront(t, f), "GET /p?q=1 HTTP/1.1\r\nHost: a\r\nConnection: X-A\r\nX-A: 1\r\nTe: trailers\r\nX-C: 1\r\n\r\n")
+
+	got := f.last.Load().Request
+	if got.Header.Get("X-A") != "" || got.Header.Get("Te") != "" || got.Header.Get("X-C") != "1" || got.Target != "/p?q=1" {
+		t.Errorf("forwarded request: got %+v", got)
+	}
+
+	if answer.Header.Get("X-B") != "" {
+		t.Errorf("answer header: got X-B, want none")
+	}
+}
