--- /dev/null
+++ b/internal/config/teamfile/teamfile.go
@@ -0,0 +1,248 @@
+// Package teamfile reads team files into teams and validates sets of them.
+package teamfile
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/config/inifile"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+const (
+	// maxDeadline is the time for which egresses keep idempotency records; a
+	// longer request could outlive the record that recognises its repeat.
+	maxDeadline = 10 * time.Minute
+	// maxLimit bounds rates and bursts; five times the fleet's peak at the
+	// target size, and small enough for the 32-bit counts between daemons.
+	maxLimit = 10_000_000
+	// maxSlots bounds a floor given in slots.
+	maxSlots = 10_000_000
+	// maxDetectionThreshold is in nats. At 1,000, no outlier is ejected within
+	// a day of evidence.
+	maxDetectionThreshold = 1000
+	// defaultDetectionThreshold applies if the key is absent.
+	defaultDetectionThreshold = 8
+)
+
+// File is the name and content of one team file.
+type File struct {
+	Name    string
+	Content []byte
+}
+
+// Parsed is a team with the name of the file that it came from.
+type Parsed struct {
+	File string
+	Team fleet.Team
+}
+
+// Parse reads one team file. If there are findings, Parsed contains what could
+// be read and may only be used to look for further findings.
+func Parse(file File) (Parsed, inifile.Findings) {
+	f := inifile.Read(file.Name, file.Content)
+	parsed := Parsed{File: file.Name}
+	seen := map[string]bool{}
+	for _, section := range f.Sections {
+		if section.Name == "" {
+			parsed.Team.Name, _ = section.Identifier("Team")
+			section.Close("Team")
+
+			continue
+		}
+		kind, name, _ := strings.Cut(section.Name, " ")
+		name = strings.TrimSpace(name)
+		if !isKind(kind) {
+			section.Report("", "is not a known section", "[Service NAME], [Route NAME] or [ClientAccount NAME]")
+
+			continue
+		}
+		if !inifile.IsIdentifier(name) {
+			section.Report("", fmt.Sprintf("%q is not a name", name), inifile.IdentifierForm)
+		}
+		if id := kind + " " + name; seen[id] {
+			section.Report("", "is defined twice in this file", "one section per name")
+		} else {
+			seen[id] = true
+		}
+		readSection(&parsed.Team, kind, name, section)
+	}
+
+	return parsed, f.Findings
+}
+
+func isKind(kind string) bool {
+	return kind == kindService || kind == kindRoute || kind == kindClientAccount
+}
+
+const (
+	kindService       = "Service"
+	kindRoute         = "Route"
+	kindClientAccount = "ClientAccount"
+)
+
+func readSection(team *fleet.Team, kind, name string, section *inifile.Section) {
+	switch kind {
+	case kindService:
+		team.Services = append(team.Services, readService(name, section))
+	case kindRoute:
+		team.Routes = append(team.Routes, readRoute(team.Name, name, section))
+	case kindClientAccount:
+		team.ClientAccounts = append(team.ClientAccounts, readClientAccount(team.Name, name, section))
+	}
+}
+
+func readService(name string, section *inifile.Section) fleet.Service {
+	service := fleet.Service{Name: name, DetectionThreshold: defaultDetectionThreshold}
+	service.Floor = readFloor(section)
+	service.Deadline, _ = section.Duration("Deadline", time.Millisecond, maxDeadline)
+	if section.Has("DetectionThreshold") {
+		service.DetectionThreshold, _ = section.Number("DetectionThreshold", maxDetectionThreshold)
+	}
+	section.Close("Floor, Deadline, DetectionThreshold")
+
+	return service
+}
+
+func readFloor(section *inifile.Section) fleet.Floor {
+	const expected = "a percentage from 1% to 100%, or a number of slots of at least 1"
+	value, ok := section.Text("Floor", expected)
+	if !ok {
+		return fleet.Floor{}
+	}
+	if percent, isPercent := strings.CutSuffix(value, "%"); isPercent {
+		n, err := strconv.Atoi(percent)
+		if err == nil && n > 100 {
+			section.Report("Floor", fmt.Sprintf("%q is above the capacity", value), expected)
+
+			return fleet.Floor{}
+		}
+		if err == nil && n >= 1 {
+			return fleet.Floor{Percent: n}
+		}
+	} else if n, err := strconv.Atoi(value); err == nil && n >= 1 && n <= maxSlots {
+		return fleet.Floor{Slots: n}
+	}
+	section.Report("Floor", fmt.Sprintf("%q is not accepted", value), expected)
+
+	return fleet.Floor{}
+}
+
+func readRoute(team, name string, section *inifile.Section) fleet.Route {
+	route := fleet.Route{Name: name, Team: team}
+	route.Service, _ = section.Identifier("Service")
+	route.Host = readHost(section)
+	route.PathPrefix = readPathPrefix(section)
+	route.Methods = readMethods(section)
+	route.Idempotent = section.Flag("Idempotent")
+	route.Open = section.Flag("Open")
+	section.Close("Service, Host, PathPrefix, Methods, Idempotent, Open")
+
+	return route
+}
+
+func readHost(section *inifile.Section) string {
+	const expected = "a host name without port, such as estanques.example"
+	value, ok := section.Text("Host", expected)
+	if !ok {
+		return ""
+	}
+	host := strings.ToLower(value)
+	valid := len(host) <= 253
+	for label := range strings.SplitSeq(host, ".") {
+		inner := strings.Trim(label, "abcdefghijklmnopqrstuvwxyz0123456789-")
+		if label == "" || len(label) > 63 || inner != "" || label[0] == '-' || label[len(label)-1] == '-' {
+			valid = false
+		}
+	}
+	if !valid {
+		section.Report("Host", fmt.Sprintf("%q is not accepted", value), expected)
+
+		return ""
+	}
+
+	return host
+}
+
+func readPathPrefix(section *inifile.Section) string {
+	const expected = "a path that begins with / and has no query, escape, empty or dot segment, such as /calendar"
+	value, ok := section.Text("PathPrefix", expected)
+	if !ok {
+		return ""
+	}
+	valid := strings.HasPrefix(value, "/") && !strings.ContainsAny(value, "?#%\\ \t\r\n")
+	if trimmed := strings.TrimSuffix(strings.TrimPrefix(value, "/"), "/"); valid && trimmed != "" {
+		for segment := range strings.SplitSeq(trimmed, "/") {
+			valid = valid && segment != "" && segment != "." && segment != ".."
+		}
+	} else if value != "/" {
+		valid = false
+	}
+	if !valid {
+		section.Report("PathPrefix", fmt.Sprintf("%q is not accepted", value), expected)
+
+		return ""
+	}
+	if value == "/" {
+		return value
+	}
+
+	return strings.TrimSuffix(value, "/")
+}
+
+var acceptedMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+func readMethods(section *inifile.Section) []string {
+	expected := "a list of " + strings.Join(acceptedMethods, ", ")
+	items, _ := section.List("Methods", expected)
+	var methods []string
+	for _, item := range items {
+		switch {
+		case !slices.Contains(acceptedMethods, item):
+			section.Report("Methods", fmt.Sprintf("%q is not accepted", item), expected)
+		case slices.Contains(methods, item):
+			section.Report("Methods", fmt.Sprintf("%q is listed twice", item), "each method once")
+		default:
+			methods = append(methods, item)
+		}
+	}
+	slices.Sort(methods)
+
+	return methods
+}
+
+func readClientAccount(team, name string, section *inifile.Section) fleet.ClientAccount {
+	account := fleet.ClientAccount{Name: name, Team: team}
+	account.Rate = readRate(section)
+	account.Burst, _ = section.Integer("Burst", 1, maxLimit)
+	section.Close("Rate, Burst")
+
+	return account
+}
+
+func readRate(section *inifile.Section) float64 {
+	const expected = "a number above 0 of requests with a unit /s, /m or /h, such as 50/s, and up to 10000000/s"
+	value, ok := section.Text("Rate", expected)
+	if !ok {
+		return 0
+	}
+	number, unit, _ := strings.Cut(value, "/")
+	seconds := map[string]float64{"s": 1, "m": 60, "h": 3600}[strings.TrimSpace(unit)]
+	n, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+	rate := n / seconds
+	if err != nil || seconds == 0 || math.IsNaN(rate) || rate <= 0 || rate > maxLimit {
+		section.Report("Rate", fmt.Sprintf("%q is not accepted", value), expected)
+
+		return 0
+	}
+
+	return rate
+}
