Add the stand-in for the object API

A write delayed by latency takes effect even if its caller gave up. Lists and watches end after 1,000 objects or 8 MiB.

--- /dev/null
+++ b/internal/standin/platform/objects.go
@@ -0,0 +1,286 @@
+// Package platform is a stand-in for the platform's object API, with faults
+// that can be switched while it runs.
+package platform
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+const (
+	// maxListObjects is the most objects in one answer to a list or watch.
+	maxListObjects = 1000
+	// maxListBytes ends an answer early, so that large objects do not make it
+	// unbounded. A list is complete only when an answer is empty.
+	maxListBytes = 8 << 20
+)
+
+// Faults are what is wrong with the store at present.
+type Faults struct {
+	// Outage makes every call fail without effect.
+	Outage bool
+	// Latency delays the start of every call. A write whose caller gave up
+	// during the delay still takes effect at its end.
+	Latency time.Duration
+	// LoseAnswers, if at least 1, is the number of next writes whose answer is
+	// lost after they took effect. Below 1, it is the fraction of writes.
+	LoseAnswers float64
+}
+
+// Calls counts the calls since the start. A waiting watch counts as one.
+type Calls struct {
+	Get, Put, List, Watch uint64
+	// BytesWritten and BytesRead are the values' bytes.
+	BytesWritten, BytesRead uint64
+}
+
+// Store holds the objects and calls them without HTTP. It is safe for
+// concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	objects map[string]map[string]fleet.Object
+	version uint64
+	faults  Faults
+	calls   Calls
+	random  *rand.Rand
+	// changed is closed and replaced at each write and each change of faults.
+	changed chan struct{}
+	wait    time.Duration
+}
+
+// New returns an empty store. Random decides which answers are lost.
+func New(random *rand.Rand) *Store {
+	return &Store{
+		objects: map[string]map[string]fleet.Object{},
+		random:  random,
+		changed: make(chan struct{}),
+		wait:    20 * time.Second,
+	}
+}
+
+// SetFaults replaces the present faults.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.announce()
+}
+
+// Calls returns the calls counted so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.calls
+}
+
+// Get returns one object.
+func (s *Store) Get(ctx context.Context, kind, name string) (fleet.Object, fleet.StoreOutcome) {
+	if !s.begin(ctx, func(c *Calls) { c.Get++ }) {
+		return fleet.Object{}, fleet.StoreUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return fleet.Object{}, fleet.StoreUnavailable
+	}
+	object, ok := s.objects[kind][name]
+	if !ok {
+		return fleet.Object{}, fleet.StoreNotFound
+	}
+	s.calls.BytesRead += uint64(len(object.Value))
+	object.Value = slices.Clone(object.Value)
+
+	return object, fleet.StoreOK
+}
+
+// Put writes one object if the condition holds.
+func (s *Store) Put(ctx context.Context, object fleet.Object, condition fleet.Condition) fleet.StoreOutcome {
+	outcome, _ := s.put(ctx, object, condition)
+
+	return outcome
+}
+
+// put also returns the object's new version.
+func (s *Store) put(ctx context.Context, object fleet.Object, condition fleet.Condition) (fleet.StoreOutcome, uint64) {
+	if !ValidName(object.Kind) || !ValidName(object.Name) || len(object.Value) > fleet.MaxObjectBytes {
+		return fleet.StoreRejected, 0
+	}
+	// The value is copied before the delay: the caller may reuse its buffer
+	// once it has given up.
+	object.Value = slices.Clone(object.Value)
+	type result struct {
+		outcome fleet.StoreOutcome
+		version uint64
+	}
+	done := make(chan result, 1)
+	go func() {
+		s.begin(context.WithoutCancel(ctx), func(c *Calls) { c.Put++ })
+		outcome, version := s.apply(object, condition)
+		done <- result{outcome, version}
+	}()
+	select {
+	case r := <-done:
+		return r.outcome, r.version
+	case <-ctx.Done():
+		return fleet.StoreAmbiguous, 0
+	}
+}
+
+func (s *Store) apply(object fleet.Object, condition fleet.Condition) (fleet.StoreOutcome, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return fleet.StoreUnavailable, 0
+	}
+	if s.objects[object.Kind][object.Name].Version != condition.Version {
+		return fleet.StoreConflict, 0
+	}
+	if s.objects[object.Kind] == nil {
+		s.objects[object.Kind] = map[string]fleet.Object{}
+	}
+	s.version++
+	object.Version = s.version
+	s.objects[object.Kind][object.Name] = object
+	s.calls.BytesWritten += uint64(len(object.Value))
+	s.announce()
+	if s.lose() {
+		return fleet.StoreAmbiguous, 0
+	}
+
+	return fleet.StoreOK, object.Version
+}
+
+func (s *Store) lose() bool {
+	if s.faults.LoseAnswers >= 1 {
+		s.faults.LoseAnswers--
+
+		return true
+	}
+
+	return s.faults.LoseAnswers > 0 && s.random.Float64() < s.faults.LoseAnswers
+}
+
+// List returns objects whose name is greater than after, in the order of their
+// names. The end is reached when none are returned.
+func (s *Store) List(ctx context.Context, kind, after string) ([]fleet.Object, fleet.StoreOutcome) {
+	if !s.begin(ctx, func(c *Calls) { c.List++ }) {
+		return nil, fleet.StoreUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return nil, fleet.StoreUnavailable
+	}
+
+	return s.collect(kind, func(o fleet.Object) bool { return o.Name > after }, func(a, b fleet.Object) int {
+		return strings.Compare(a.Name, b.Name)
+	}), fleet.StoreOK
+}
+
+// Watch returns objects written after the given version, in the order of their
+// versions. It waits up to 20 s for one, and then returns none.
+func (s *Store) Watch(ctx context.Context, kind string, since uint64) ([]fleet.Object, fleet.StoreOutcome) {
+	return s.watch(ctx, kind, since, s.wait)
+}
+
+func (s *Store) watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]fleet.Object, fleet.StoreOutcome) {
+	if !s.begin(ctx, func(c *Calls) { c.Watch++ }) {
+		return nil, fleet.StoreUnavailable
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		if s.faults.Outage {
+			s.mu.Unlock()
+
+			return nil, fleet.StoreUnavailable
+		}
+		objects := s.collect(kind, func(o fleet.Object) bool { return o.Version > since }, func(a, b fleet.Object) int {
+			return cmp.Compare(a.Version, b.Version)
+		})
+		changed := s.changed
+		s.mu.Unlock()
+		if len(objects) > 0 {
+			return objects, fleet.StoreOK
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, fleet.StoreOK
+		case <-ctx.Done():
+			return nil, fleet.StoreUnavailable
+		}
+	}
+}
+
+func (s *Store) collect(kind string, match func(fleet.Object) bool, order func(a, b fleet.Object) int) []fleet.Object {
+	var objects []fleet.Object
+	for _, object := range s.objects[kind] {
+		if match(object) {
+			objects = append(objects, object)
+		}
+	}
+	slices.SortFunc(objects, order)
+	size := 0
+	for i, object := range objects {
+		size += len(object.Value)
+		if i == maxListObjects || i > 0 && size > maxListBytes {
+			objects = objects[:i]
+
+			break
+		}
+	}
+	for i := range objects {
+		s.calls.BytesRead += uint64(len(objects[i].Value))
+		objects[i].Value = slices.Clone(objects[i].Value)
+	}
+
+	return objects
+}
+
+// begin counts a call and waits for the present latency. It reports whether
+// the caller still waits.
+func (s *Store) begin(ctx context.Context, count func(*Calls)) bool {
+	s.mu.Lock()
+	count(&s.calls)
+	latency := s.faults.Latency
+	s.mu.Unlock()
+	if latency <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-time.After(latency):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Store) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ValidName reports whether a kind or name has the form that the store accepts.
+func ValidName(name string) bool {
+	if name == "" || len(name) > 200 {
+		return false
+	}
+	for _, c := range []byte(name) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && !strings.ContainsRune("-_.:", rune(c)) {
+			return false
+		}
+	}
+
+	return name != "." && name != ".."
+}
