--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -53,6 +53,7 @@
 	// changed is closed and replaced at each write and each change of faults.
 	changed chan struct{}
 	wait    time.Duration
+	observe func(fleet.Object)
 }
 
 // New returns an empty store. Random decides which answers are lost.
@@ -73,6 +74,13 @@
 	s.announce()
 }
 
+// Observe lets a function see every write in order. It must not call the store.
+func (s *Store) Observe(observe func(fleet.Object)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe = observe
+}
+
 // Calls returns the calls counted so far.
 func (s *Store) Calls() Calls {
 	s.mu.Lock()
@@ -150,6 +158,9 @@
 	object.Version = s.version
 	s.objects[object.Kind][object.Name] = object
 	s.calls.BytesWritten += uint64(len(object.Value))
+	if s.observe != nil {
+		s.observe(object)
+	}
 	s.announce()
 	if s.lose() {
 		return fleet.StoreAmbiguous, 0
