--- a/internal/core/health/arbiter.go
+++ b/internal/core/health/arbiter.go
@@ -243,10 +243,10 @@
 		r := c.record
 		r.score, r.severity = c.score, c.severity
 		r.ejection.Reason = c.reason
-		backoff := min(minBackoff<<min(r.ejection.Level, 10), maxBackoff)
+		backoff := min(minBackoff<<r.ejection.Level, MaxBackoff)
 		jitter := time.Duration(random.Int64N(int64(backoff / 10)))
-		r.ejection.Until = now.Add(min(backoff+jitter, maxBackoff))
-		r.ejection.Level++
+		r.ejection.Until = now.Add(min(backoff+jitter, MaxBackoff))
+		r.ejection.Level = min(r.ejection.Level+1, MaxLevel)
 		r.enter(Ejected, ActionEject, now)
 	}
 }
--- a/internal/core/health/arbiter_test.go
+++ b/internal/core/health/arbiter_test.go
@@ -212,11 +212,11 @@
 	if got := b.ejections["u0"]; got < 6 || got > 7 {
 		t.Errorf("ejections in 10 min: got %d, want 6 or 7", got)
 	}
-	if backoff := r.ejection.Until.Sub(r.since); r.ejection.State == Ejected && backoff > maxBackoff {
-		t.Errorf("backoff: got %v, want at most %v", backoff, maxBackoff)
+	if backoff := r.ejection.Until.Sub(r.since); r.ejection.State == Ejected && backoff > MaxBackoff {
+		t.Errorf("backoff: got %v, want at most %v", backoff, MaxBackoff)
 	}
 	faulty = false
-	b.run(maxBackoff + maxProbation)
+	b.run(MaxBackoff + maxProbation)
 	if got := r.ejection.State; got != None {
 		t.Fatalf("state after recovery: got %v, want None", got)
 	}
--- a/internal/core/health/ejection.go
+++ b/internal/core/health/ejection.go
@@ -14,9 +14,13 @@
 	// spreadAllowance is the time an entry may take to reach every daemon. An
 	// ejection counts against the floor for this long beyond its TTL.
 	spreadAllowance = 2 * time.Second
-	// minBackoff doubles with each remembered ejection up to maxBackoff.
+	// MaxBackoff bounds the duration of one ejection.
+	MaxBackoff = 5 * time.Minute
+	// MaxLevel bounds the remembered ejections: from level 6 on the backoff is
+	// MaxBackoff, and a few more delay forgetting.
+	MaxLevel = 8
+	// minBackoff doubles with each remembered ejection up to MaxBackoff.
 	minBackoff = 5 * time.Second
-	maxBackoff = 5 * time.Minute
 	// memoryStep is the time in service after which one ejection is forgotten.
 	memoryStep = 5 * time.Minute
 	// probationRequests and minProbation have to pass without suspicion before
