--- /dev/null
+++ b/internal/standin/cluster/cluster.go
@@ -0,0 +1,323 @@
+// Package cluster starts the stand-in platform, stand-in upstreams and daemons
+// as separate processes on loopback, for the demo and for tests of failures.
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	stopTimeout  = 15 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// Plan describes the processes to start.
+type Plan struct {
+	// Bin is the directory with the programs.
+	Bin string
+	// Dir takes settings and logs.
+	Dir string
+	// Zones are the names of the availability zones.
+	Zones []string
+	// Daemons is their number. They are spread over the zones in turn.
+	Daemons int
+	// Services has one upstream of each service beside each daemon.
+	Services []string
+	// Slots is the number of requests that an upstream runs at once.
+	Slots int
+	// ServiceTime is the mean time that an upstream takes per request.
+	ServiceTime time.Duration
+}
+
+// Daemon is one daemon and the stand-in upstreams beside it.
+type Daemon struct {
+	Name     string
+	Zone     string
+	Caller   netip.AddrPort
+	Peer     netip.AddrPort
+	Local    netip.AddrPort
+	Operator netip.AddrPort
+	// Control is where the stand-in upstreams take modes and give records.
+	Control netip.AddrPort
+
+	settings  string
+	process   *process
+	upstreams *process
+}
+
+// Cluster is a set of running processes.
+type Cluster struct {
+	plan     Plan
+	Platform netip.AddrPort
+	Daemons  []*Daemon
+	platform *process
+}
+
+// New starts the processes and returns the cluster and the function that ends
+// them. The daemons have no configuration yet.
+func New(ctx context.Context, plan Plan) (*Cluster, func(), error) {
+	c := &Cluster{plan: plan}
+
+	addresses, err := reserve(1 + 5*plan.Daemons)
+	if err != nil {
+		return nil, nil, err
+	}
+
+	c.Platform = addresses[0]
+
+	for i := range plan.Daemons {
+		a := addresses[1+5*i:]
+		zone := plan.Zones[i%len(plan.Zones)]
+		c.Daemons = append(c.Daemons, &Daemon{
+			Name: fmt.Sprintf("%s-%d", zone, i/len(plan.Zones)+1), Zone: zone,
+			Caller: a[0], Peer: a[1], Local: a[2], Operator: a[3], Control: a[4],
+		})
+	}
+
+	if err := c.start(ctx); err != nil {
+		c.close()
+
+		return nil, nil, err
+	}
+
+	return c, c.close, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	var err error
+
+	c.platform, err = c.run("platform", "standin", "platform", "--address", c.Platform.String())
+	if err != nil {
+		return err
+	}
+
+	if err := waitFor(ctx, c.Platform); err != nil {
+		return err
+	}
+
+	for _, d := range c.Daemons {
+		if err := c.StartDaemon(d); err != nil {
+			return err
+		}
+
+		d.upstreams, err = c.run("upstreams-"+d.Name, "standin", "upstreams",
+			"--prefix", d.Name, "--daemon", d.Local.String(), "--control", d.Control.String(),
+			"--slots", strconv.Itoa(c.plan.Slots), "--servicetime", c.plan.ServiceTime.String(),
+			"--services", strings.Join(c.plan.Services, ","))
+		if err != nil {
+			return err
+		}
+	}
+
+	for _, d := range c.Daemons {
+		for _, address := range []netip.AddrPort{d.Operator, d.Control} {
+			if err := waitFor(ctx, address); err != nil {
+				return fmt.Errorf("daemon %s: %w", d.Name, err)
+			}
+		}
+	}
+
+	return nil
+}
+
+// StartDaemon starts a daemon that is not running.
+func (c *Cluster) StartDaemon(d *Daemon) error {
+	if err := c.writeSettings(d); err != nil {
+		return err
+	}
+
+	var err error
+
+	d.process, err = c.run(d.Name, "kumquatshelfd", "--settings", d.settings)
+
+	return err
+}
+
+// StopDaemon stops a daemon as planned and waits until it has ended.
+func (c *Cluster) StopDaemon(d *Daemon) error {
+	return d.process.stop(stopTimeout)
+}
+
+// KillDaemon ends a daemon at once.
+func (c *Cluster) KillDaemon(d *Daemon) error {
+	return d.process.kill()
+}
+
+// PauseDaemon freezes a daemon until ResumeDaemon.
+func (c *Cluster) PauseDaemon(d *Daemon) error {
+	return d.process.signal(syscall.SIGSTOP)
+}
+
+// ResumeDaemon lets a paused daemon run on.
+func (c *Cluster) ResumeDaemon(d *Daemon) error {
+	return d.process.signal(syscall.SIGCONT)
+}
+
+// Client runs the operators' client and returns its standard output.
+func (c *Cluster) Client(ctx context.Context, arguments ...string) (string, error) {
+	// The daemons' operator addresses are given through the environment, as an
+	// operator would set them once.
+	command := exec.CommandContext(ctx, filepath.Join(c.plan.Bin, "kumquatshelf"), arguments...)
+	command.Env = append(os.Environ(),
+		"KUMQUATSHELF_PLATFORM="+c.Platform.String(), "KUMQUATSHELF_DAEMONS="+strings.Join(c.operators(), ","))
+
+	var errorOutput strings.Builder
+
+	command.Stderr = &errorOutput
+
+	output, err := command.Output()
+	if err != nil {
+		return string(output), fmt.Errorf("kumquatshelf %s: %w: %s", arguments[0], err, errorOutput.String())
+	}
+
+	return string(output), nil
+}
+
+func (c *Cluster) operators() []string {
+	var list []string
+	for _, d := range c.Daemons {
+		list = append(list, d.Operator.String())
+	}
+
+	return list
+}
+
+// Callers returns the addresses that callers connect to.
+func (c *Cluster) Callers() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, d := range c.Daemons {
+		list = append(list, d.Caller)
+	}
+
+	return list
+}
+
+func (c *Cluster) writeSettings(d *Daemon) error {
+	var seeds []string
+
+	for _, other := range c.Daemons {
+		if other != d && len(seeds) < 3 {
+			seeds = append(seeds, other.Peer.String())
+		}
+	}
+
+	text := fmt.Sprintf(`[Daemon]
+Name = %s
+AvailabilityZone = %s
+Region = local
+CallerAddress = %s
+PeerAddress = %s
+LocalAddress = %s
+OperatorAddress = %s
+
+[Peers]
+Seeds = %s
+
+[Platform]
+Address = %s
+
+[Limits]
+MaxHeaderBytes = 16384
+MaxBodyBytes = 1048576
+`, d.Name, d.Zone, d.Caller, d.Peer, d.Local, d.Operator, strings.Join(seeds, ", "), c.Platform)
+
+	d.settings = filepath.Join(c.plan.Dir, d.Name+".ini")
+
+	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+
+	return nil
+}
+
+// close stops daemons and upstreams side by side, the platform last.
+func (c *Cluster) close() {
+	var group sync.WaitGroup
+
+	for _, d := range c.Daemons {
+		for _, p := range []*process{d.process, d.upstreams} {
+			if p != nil {
+				group.Go(func() {
+					_ = p.signal(syscall.SIGCONT)
+					_ = p.stop(stopTimeout)
+				})
+			}
+		}
+	}
+
+	group.Wait()
+
+	if c.platform != nil {
+		_ = c.platform.kill()
+	}
+}
+
+// reserve returns loopback addresses with ports that were free a moment ago.
+func reserve(n int) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+
+	for range n {
+		listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			return nil, fmt.Errorf("reserve a port: %w", err)
+		}
+
+		defer func() { _ = listener.Close() }()
+
+		address, _ := listener.Addr().(*net.TCPAddr)
+		addresses = append(addresses, netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port()))
+	}
+
+	return addresses, nil
+}
+
+func waitFor(ctx context.Context, address netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+
+	var dialer net.Dialer
+
+	for {
+		connection, err := dialer.DialContext(ctx, "tcp", address.String())
+		if err == nil {
+			return errors.Join(connection.Close())
+		}
+
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("nothing listens on %s after %s", address, startTimeout)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// Request sends a small request to a control address and returns the status.
+func Request(ctx context.Context, method, url, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("request %s: %w", url, err)
+	}
+
+	request.Header.Set("Content-Type", "application/json")
+
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("request %s: %w", url, err)
+	}
+
+	return answer, nil
+}
