Keep daemons' configuration and keys in step with the store

Change: the loader's relays watch the store; the others hear the head entry and fetch head, bucket and part from members that run the version, and read the store only after four failed rounds. A daemon without a configuration takes the newest of three peers before it reads the store. Keys in the store become entries; relays write withdrawals that the store lacks, and never write a key as given. A head or part is also found by the head's hash, so that a peer with another version answers in a few bytes. Not covered by a test: reading the store before the four rounds with peers.

--- a/internal/config/publication/manifest.go
+++ b/internal/config/publication/manifest.go
@@ -137,6 +137,13 @@
 	publications []Publication
 }
 
+// HeadVersion returns the version of an encoded head of a manifest.
+func HeadVersion(raw []byte) (uint64, bool) {
+	h, err := decodeHead(raw)
+
+	return h.version, err == nil
+}
+
 func decodeHead(raw []byte) (head, error) {
 	var message peerpb.ManifestHead
 	if err := proto.Unmarshal(raw, &message); err != nil {
--- a/internal/config/publication/snapshot.go
+++ b/internal/config/publication/snapshot.go
@@ -54,6 +54,8 @@
 	Manifest      Manifest
 	// Head is the encoded head of the manifest.
 	Head []byte
+	// HeadHash is the SHA-256 hash of Head in hex.
+	HeadHash string
 	// buckets and files hold the parts by hash.
 	buckets map[string][]byte
 	files   map[string]file
@@ -75,13 +77,13 @@
 	return s.Manifest.Version
 }
 
-// Part returns the bucket or team file with the hash, or the head of the
-// manifest for an empty hash.
+// Part returns the bucket, team file or head of the manifest with the hash. For
+// an empty hash it returns the head.
 func (s *Snapshot) Part(hash string) ([]byte, bool) {
 	if s == nil {
 		return nil, false
 	}
-	if hash == "" {
+	if hash == "" || hash == s.HeadHash {
 		return s.Head, true
 	}
 	if bucket, ok := s.buckets[hash]; ok {
@@ -135,6 +137,7 @@
 	next := &Snapshot{
 		Manifest: Manifest{Version: h.version, Parts: map[string]Part{}, Publications: h.publications},
 		Head:     raw,
+		HeadHash: Hash(raw),
 		files:    map[string]file{},
 	}
 	if next.buckets, ok = collect(ctx, current, source, h.buckets); !ok {
--- /dev/null
+++ b/internal/daemon/configuration/loader.go
@@ -0,0 +1,284 @@
+// Package configuration keeps a daemon's configuration and keys in step with
+// the store, directly or through other daemons.
+package configuration
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/config/publication"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+const (
+	// joinGrace lets a starting daemon learn of peers before it reads the whole
+	// configuration from the store, whose reads are scarcer.
+	joinGrace = time.Second
+	// firstRetry and maxRetry bound the wait after a failed attempt. With both
+	// relays of an availability zone failing, a change still takes effect
+	// within the 17 s of the target.
+	firstRetry = 250 * time.Millisecond
+	maxRetry   = 5 * time.Second
+	// peersPerRound is how many peers are asked in one attempt.
+	peersPerRound = 3
+	// roundsBeforeStore is how many attempts a daemon that is no relay makes
+	// with its peers before it reads the store itself.
+	roundsBeforeStore = 4
+	// callTimeout bounds one call to a peer.
+	callTimeout = 2 * time.Second
+	// headKey is the only key of fleet.KindHead.
+	headKey = "Current"
+)
+
+// Entries is the replicated set of entries.
+type Entries interface {
+	// Publish merges an entry into the set; an older one has no effect.
+	Publish(entry fleet.Entry)
+	// Range calls visit for each entry of a kind.
+	Range(kind fleet.EntryKind, visit func(fleet.Entry))
+	// Subscribe returns a channel that receives after entries of the kind
+	// changed, with several changes merged into one, and a function that ends it.
+	Subscribe(kind fleet.EntryKind) (<-chan struct{}, func())
+}
+
+// Peers calls other daemons by name.
+type Peers interface {
+	// Call returns false if no answer was received.
+	Call(ctx context.Context, daemon string, frame *peerpb.Frame) (*peerpb.Frame, bool)
+}
+
+// Membership tells this daemon's part in the fleet.
+type Membership interface {
+	// Relay reports whether this daemon is one of those that watch the store.
+	Relay() bool
+}
+
+// Dependencies are what a loader works with.
+type Dependencies struct {
+	// Name is this daemon's.
+	Name       string
+	Store      publication.Store
+	Entries    Entries
+	Peers      Peers
+	Membership Membership
+	Random     *rand.Rand
+	Log        *slog.Logger
+}
+
+// Loader holds the installed configuration. Its version only rises.
+type Loader struct {
+	Dependencies
+	store    *contactStore
+	snapshot atomic.Pointer[publication.Snapshot]
+	// heads carries the latest manifest that the watch has seen.
+	heads chan []byte
+	// settled holds the hashes of keys that the store is known to have as
+	// withdrawn. That never changes back.
+	settled sync.Map
+
+	mu          sync.Mutex
+	subscribers map[chan struct{}]struct{}
+}
+
+// New starts a loader and returns a function that stops it and waits.
+func New(dependencies Dependencies) (*Loader, func()) {
+	l := &Loader{
+		Dependencies: dependencies,
+		store:        &contactStore{Store: dependencies.Store},
+		heads:        make(chan []byte, 1),
+		subscribers:  map[chan struct{}]struct{}{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context, *rand.Rand){l.install, l.watchManifest, l.watchKeys, l.reconcileKeys} {
+		random := rand.New(rand.NewPCG(l.Random.Uint64(), l.Random.Uint64())) //nolint:gosec // spreads retries
+		loops.Go(func() { loop(ctx, random) })
+	}
+
+	return l, func() {
+		cancel()
+		loops.Wait()
+	}
+}
+
+// Current returns the installed configuration, or nil if there is none yet.
+func (l *Loader) Current() *fleet.Configuration {
+	if snapshot := l.snapshot.Load(); snapshot != nil {
+		return snapshot.Configuration
+	}
+
+	return nil
+}
+
+// LastContact returns when the store last answered, or the zero time.
+func (l *Loader) LastContact() time.Time {
+	return l.store.last()
+}
+
+// Subscribe returns a channel that receives after a version was installed, with
+// several installations merged into one, and a function that ends it.
+func (l *Loader) Subscribe() (<-chan struct{}, func()) {
+	changed := make(chan struct{}, 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.subscribers[changed] = struct{}{}
+
+	return changed, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.subscribers, changed)
+	}
+}
+
+// Handle answers another daemon's request for a part.
+func (l *Loader) Handle(request *peerpb.FetchPart) *peerpb.Part {
+	value, found := l.snapshot.Load().Part(request.GetHash())
+
+	return &peerpb.Part{Found: found, Value: value}
+}
+
+// install owns the snapshot: it is the only goroutine that replaces it.
+func (l *Loader) install(ctx context.Context, random *rand.Rand) {
+	changed, stop := l.Entries.Subscribe(fleet.KindHead)
+	defer stop()
+	if len(l.candidates(0, random)) == 0 {
+		sleep(ctx, joinGrace)
+	}
+	// failed is a manifest seen by the watch whose parts could not be read.
+	var failed []byte
+	retry := time.NewTimer(0)
+	defer retry.Stop()
+	for round := 0; ctx.Err() == nil; {
+		select {
+		case <-ctx.Done():
+			return
+		case failed = <-l.heads:
+		case <-changed:
+		case <-retry.C:
+		}
+		if failed != nil && l.load(ctx, publication.FromStore(l.store, failed)) {
+			failed = nil
+		}
+		if l.follow(ctx, round, random) && failed == nil {
+			round = 0
+			retry.Reset(maxRetry)
+
+			continue
+		}
+		retry.Reset(backOff(round, random))
+		round++
+	}
+}
+
+// follow brings the configuration up to the head that the fleet knows. It
+// returns false if another attempt is needed.
+func (l *Loader) follow(ctx context.Context, round int, random *rand.Rand) bool {
+	current := l.snapshot.Load()
+	if current == nil {
+		return l.newest(ctx, random) || l.load(ctx, publication.FromStore(l.store, nil)) && l.snapshot.Load() != nil
+	}
+	head := l.head()
+	if head.GetVersion() <= current.Version() {
+		return true
+	}
+	for _, daemon := range l.candidates(head.GetVersion(), random) {
+		source := peerSource{peers: l.Peers, daemon: daemon}
+		if round == 0 {
+			// A peer without this version answers in a few bytes.
+			source.head = head.GetManifestHash()
+		}
+		l.load(ctx, source)
+		if l.snapshot.Load().Version() >= head.GetVersion() {
+			return true
+		}
+	}
+	if round >= roundsBeforeStore {
+		l.load(ctx, publication.FromStore(l.store, nil))
+	}
+
+	return l.snapshot.Load().Version() >= head.GetVersion()
+}
+
+// newest asks several peers for their versions and installs the newest that
+// one of them can provide.
+func (l *Loader) newest(ctx context.Context, random *rand.Rand) bool {
+	type answer struct {
+		source  peerSource
+		version uint64
+	}
+	answers := make(chan answer, peersPerRound)
+	candidates := l.candidates(l.head().GetVersion(), random)
+	for _, daemon := range candidates {
+		go func() {
+			source := peerSource{peers: l.Peers, daemon: daemon}
+			raw, _ := source.Head(ctx)
+			version, _ := publication.HeadVersion(raw)
+			answers <- answer{source, version}
+		}()
+	}
+	received := make([]answer, len(candidates))
+	for i := range received {
+		received[i] = <-answers
+	}
+	slices.SortStableFunc(received, func(a, b answer) int { return cmp.Compare(b.version, a.version) })
+	for _, a := range received {
+		if a.version > 0 && l.load(ctx, a.source) && l.snapshot.Load() != nil {
+			return true
+		}
+	}
+
+	return false
+}
+
+// load installs what a source has, if it is newer. It returns false if another
+// attempt may have another result.
+func (l *Loader) load(ctx context.Context, source publication.Source) bool {
+	current := l.snapshot.Load()
+	next, outcome, findings := publication.Load(ctx, current, source)
+	switch outcome {
+	case publication.LoadInstalled:
+		l.snapshot.Store(next)
+		l.Log.Info("configuration installed", "Version", next.Version(), "OldVersion", current.Version())
+		l.announce(next)
+	case publication.LoadInvalid:
+		l.Log.Error("configuration not installed", "Version", current.Version(), "Findings", findings.String())
+	case publication.LoadNotNewer:
+	default:
+		return false
+	}
+
+	return true
+}
+
+// announce tells subscribers and the fleet about a version.
+func (l *Loader) announce(snapshot *publication.Snapshot) {
+	l.mu.Lock()
+	for changed := range l.subscribers {
+		select {
+		case changed <- struct{}{}:
+		default: // the subscriber has yet to take the previous signal
+		}
+	}
+	l.mu.Unlock()
+	l.Entries.Publish(headEntry(snapshot))
+}
+
+func backOff(round int, random *rand.Rand) time.Duration {
+	wait := min(firstRetry<<min(round, 10), maxRetry)
+
+	return wait/2 + time.Duration(random.Int64N(int64(wait/2)))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/daemon/configuration/loader_test.go
@@ -0,0 +1,126 @@
+package configuration
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/standin/platform"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+// Guards against a configuration that does not reach every daemon in time, or
+// is reverted (R11), under each fault of the store and of daemons.
+func TestConfigurationReachesEveryDaemon(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]func(t *testing.T, f *testFleet){
+		"no fault": func(t *testing.T, f *testFleet) {
+			before := f.daemons["c"].loader.LastContact()
+			f.publish(t, 2)
+			f.settle(effect)
+			f.expect(t, "after a publication", 2, "a", "b", "c", "d")
+			if got := f.daemons["c"].loader.LastContact(); got != before {
+				t.Errorf("got contact with the store at %v by a daemon that is no relay, want none after %v", got, before)
+			}
+		},
+		"slow store": func(t *testing.T, f *testFleet) {
+			f.store.SetFaults(platform.Faults{Latency: 2 * time.Second})
+			f.publish(t, 2)
+			f.settle(effect)
+			f.expect(t, "slow", 2, "a", "b", "c", "d")
+		},
+		"parts unreadable at first": func(t *testing.T, f *testFleet) {
+			for _, d := range f.daemons {
+				d.mu.Lock()
+				d.refuse = 3
+				d.mu.Unlock()
+			}
+			f.publish(t, 2)
+			f.settle(effect)
+			f.expect(t, "after retries", 2, "a", "b", "c", "d")
+		},
+		"one relay cut off": func(t *testing.T, f *testFleet) {
+			f.daemons["a"].setCut(true)
+			f.publish(t, 2)
+			f.settle(effect)
+			f.expect(t, "without a", 2, "b", "c", "d")
+			f.expect(t, "cut off", 1, "a")
+			f.daemons["a"].setCut(false)
+			f.settle(effect)
+			f.expect(t, "resumed", 2, "a")
+		},
+		"both relays cut off until others have it": func(t *testing.T, f *testFleet) {
+			f.daemons["a"].setCut(true)
+			f.daemons["b"].setCut(true)
+			f.publish(t, 2)
+			e := f.start("e", true)
+			f.settle(effect)
+			f.expect(t, "through e", 2, "c", "d", "e")
+			f.store.SetFaults(platform.Faults{Outage: true})
+			f.daemons["a"].setCut(false)
+			f.daemons["b"].setCut(false)
+			f.settle(effect)
+			f.expect(t, "resumed in an outage", 2, "a", "b")
+			if got := e.loader.LastContact(); got.IsZero() || time.Since(got) < effect {
+				t.Errorf("got contact %v ago in an outage, want at least %v", time.Since(got), effect)
+			}
+		},
+		"started in an outage beside an old daemon": func(t *testing.T, f *testFleet) {
+			f.daemons["d"].setCut(true)
+			f.publish(t, 2)
+			f.settle(effect)
+			f.store.SetFaults(platform.Faults{Outage: true})
+			f.daemons["a"].setCut(true)
+			f.daemons["d"].setCut(false)
+			e := f.start("e", true)
+			f.settle(5 * time.Second)
+			f.expect(t, "started", 2, "e")
+			if len(e.versions) != 1 {
+				t.Errorf("got versions %v installed at the start, want only the newest", e.versions)
+			}
+		},
+		"started in an outage without peers": func(t *testing.T, f *testFleet) {
+			for _, d := range f.daemons {
+				d.setCut(true)
+			}
+			f.store.SetFaults(platform.Faults{Outage: true})
+			e := f.start("e", true)
+			f.settle(effect)
+			f.expect(t, "without any source", 0, "e")
+			if e.loader.Current() != nil {
+				t.Error("got a configuration, want none")
+			}
+			f.store.SetFaults(platform.Faults{})
+			f.settle(effect)
+			f.expect(t, "after the outage", 1, "e")
+		},
+		"a peer that lies about the head": func(t *testing.T, f *testFleet) {
+			f.daemons["c"].merge(fleet.Entry{Kind: fleet.KindHead, Key: headKey, Version: 9, Value: marshal(&peerpb.Head{Version: 9, ManifestHash: "x"})})
+			f.settle(effect)
+			f.expect(t, "after a false head", 1, "a", "b", "c", "d")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet()
+				defer f.end()
+				for i, name := range []string{"a", "b", "c", "d"} {
+					f.start(name, i < 2)
+				}
+				f.publish(t, 1)
+				f.settle(effect)
+				f.expect(t, "at first", 1, "a", "b", "c", "d")
+				test(t, f)
+				for name, d := range f.daemons {
+					for i := 1; i < len(d.versions); i++ {
+						if d.versions[i] <= d.versions[i-1] {
+							t.Errorf("got versions %v on %s, want them to rise", d.versions, name)
+						}
+					}
+				}
+			})
+		})
+	}
+}
