Name the egress incarnation on cancels between daemons

Cause: a cancel that reaches a restarted egress must not be confirmed, since the attempt may have run at its predecessor. Change: the ingress passes the incarnation that the attempt was sent to. Result: go test ./internal/adapter/peer ./internal/daemon/ingress passes.

--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -135,9 +135,14 @@
 	s.end()
 }
 
-// Cancel asks a daemon to cancel an attempt that this daemon sent to it.
-func (n *Network) Cancel(ctx context.Context, daemon string, id fleet.AttemptID) fleet.CancelResult {
-	frame := &peerpb.Frame{Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{ID: fromID(id)}}}
+// Cancel asks a daemon to cancel an attempt that this daemon sent to the given
+// incarnation of it.
+func (n *Network) Cancel(
+	ctx context.Context, daemon string, id fleet.AttemptID, egressIncarnation uint64,
+) fleet.CancelResult {
+	frame := &peerpb.Frame{Body: &peerpb.Frame_Cancel{
+		Cancel: &peerpb.Cancel{ID: fromID(id), EgressIncarnation: egressIncarnation},
+	}}
 	answer, ok := n.Call(ctx, daemon, frame)
 	if !ok {
 		return fleet.CancelUnknown
--- a/internal/adapter/peer/network.go
+++ b/internal/adapter/peer/network.go
@@ -36,7 +36,9 @@
 	Opened(session fleet.Session)
 	Closed(session fleet.Session)
 	Run(ctx context.Context, session fleet.Session, attempt fleet.Attempt) fleet.Reply
-	Cancel(ctx context.Context, session fleet.Session, id fleet.AttemptID) fleet.CancelResult
+	Cancel(
+		ctx context.Context, session fleet.Session, id fleet.AttemptID, egressIncarnation uint64,
+	) fleet.CancelResult
 	// Control answers any other frame; false means that it is not supported.
 	Control(ctx context.Context, from string, frame *peerpb.Frame) (*peerpb.Frame, bool)
 }
--- a/internal/adapter/peer/peer_test.go
+++ b/internal/adapter/peer/peer_test.go
@@ -92,7 +92,7 @@
 	return r.run(ctx, attempt)
 }
 
-func (r *recorder) Cancel(context.Context, fleet.Session, fleet.AttemptID) fleet.CancelResult {
+func (r *recorder) Cancel(context.Context, fleet.Session, fleet.AttemptID, uint64) fleet.CancelResult {
 	return fleet.CancelStarted
 }
 
@@ -290,7 +290,7 @@
 	reply := client.Run(t.Context(), "B", fleet.Attempt{})
 	_ = reply.Answer.Body.Close()
 	<-ended
-	if result := client.Cancel(t.Context(), "B", fleet.AttemptID{}); result != fleet.CancelStarted {
+	if result := client.Cancel(t.Context(), "B", fleet.AttemptID{}, 0); result != fleet.CancelStarted {
 		t.Errorf("got cancel result %v, want CancelStarted", result)
 	}
 }
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -174,7 +174,7 @@
 	case *peerpb.Frame_Attempt:
 		n.serveAttempt(ctx, a, stream, body.Attempt)
 	case *peerpb.Frame_Cancel:
-		result := n.handler.Cancel(ctx, a.peer, toID(body.Cancel.ID))
+		result := n.handler.Cancel(ctx, a.peer, toID(body.Cancel.ID), body.Cancel.EgressIncarnation)
 		writeFrame(stream, &peerpb.Frame{Body: &peerpb.Frame_CancelResult{
 			CancelResult: &peerpb.CancelResult{Result: uint32(result)}, //nolint:gosec // results are small
 		}})
--- a/internal/daemon/ingress/dispatch.go
+++ b/internal/daemon/ingress/dispatch.go
@@ -225,7 +225,7 @@
 	cancel()
 
 	if reply.Outcome == fleet.Unknown && !d.route.Idempotent {
-		reply = d.confirm(candidate.Daemon, reply)
+		reply = d.confirm(candidate, reply)
 	}
 
 	switch {
@@ -272,11 +272,11 @@
 
 // confirm asks the egress to cancel an attempt of unknown outcome. Only its
 // confirmation makes the attempt one that has not run.
-func (d *dispatcher) confirm(daemon string, reply fleet.Reply) fleet.Reply {
+func (d *dispatcher) confirm(candidate balance.Candidate, reply fleet.Reply) fleet.Reply {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), cancelTimeout)
 	defer cancel()
 
-	if d.Egress.Cancel(ctx, daemon, reply.ID) != fleet.CancelNotRun {
+	if d.Egress.Cancel(ctx, candidate.Daemon, reply.ID, candidate.EgressIncarnation) != fleet.CancelNotRun {
 		return reply
 	}
 
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -20,7 +20,7 @@
 // Egress runs attempts at the daemon beside an upstream.
 type Egress interface {
 	Run(ctx context.Context, daemon string, attempt fleet.Attempt) fleet.Reply
-	Cancel(ctx context.Context, daemon string, id fleet.AttemptID) fleet.CancelResult
+	Cancel(ctx context.Context, daemon string, id fleet.AttemptID, egressIncarnation uint64) fleet.CancelResult
 }
 
 // Limiter spends tokens of client accounts.
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -42,7 +42,9 @@
 	return reply(ctx, attempt)
 }
 
-func (w *world) Cancel(context.Context, string, fleet.AttemptID) fleet.CancelResult { return w.cancel }
+func (w *world) Cancel(context.Context, string, fleet.AttemptID, uint64) fleet.CancelResult {
+	return w.cancel
+}
 
 func (w *world) Take(context.Context, string, time.Time) fleet.Take { return w.take }
 
