--- a/internal/adapter/caller/front.go
+++ b/internal/adapter/caller/front.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -50,6 +51,7 @@
 	metrics   *expvar.Map
 	server    *http.Server
 	listener  net.Listener
+	draining  atomic.Bool
 }
 
 // New starts accepting callers on address. The clean-up function closes the
@@ -96,6 +98,12 @@
 	return f.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// Drain goes on answering, and asks callers to close their connections, so that
+// few are left when the listener closes.
+func (f *Front) Drain() {
+	f.draining.Store(true)
+}
+
 // Stop refuses new connections and waits for requests in flight until ctx ends.
 func (f *Front) Stop(ctx context.Context) {
 	if err := f.server.Shutdown(ctx); err != nil {
@@ -107,6 +115,10 @@
 	arrived := time.Now()
 	r := c.Request()
 
+	if f.draining.Load() {
+		c.Response().Header().Set("Connection", "close")
+	}
+
 	request, refusal := f.read(c.Response(), r)
 	if refusal.Reason != fleet.ReasonNone {
 		f.metrics.Add("BadRequests", 1)
