Let old seats shorten a forced repair

Cause: a forced repair waited out the grace even if the old seats came back and could acknowledge, so a repair announced by mistake stopped the group for hours. Change: a forced epoch names the previous seats too and becomes active with their acknowledgement or after the grace, whichever is first. The candidate reports whether it is elected in the current epoch, so that the holder can clear the previous seats in the store.

--- a/internal/core/lease/candidate.go
+++ b/internal/core/lease/candidate.go
@@ -75,8 +75,13 @@
 	}
 }
 
-// Ended reports that End was called and the promises were released.
-func (c *Candidate) Ended() bool { return c.stopped }
+// Ending reports that End was called and the promises are not yet released.
+func (c *Candidate) Ending() bool { return !c.ending.IsZero() && !c.stopped }
+
+// Elected reports that the lease is held by votes of the current epoch.
+func (c *Candidate) Elected(now time.Time) bool {
+	return c.Held(now) && len(c.votes) >= Majority(len(c.seats.GetSeats()))
+}
 
 // Ballots returns the messages that are due. Rank is the candidate's place
 // among the seats; free says that its own seat has promised the lease to no
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/virtual"
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
@@ -27,34 +27,10 @@
 
 var epochStart = time.Unix(1_000_000, 0)
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-
-	return x
-}
-
 // world runs voters and candidates in virtual real time; each node has a clock
 // with its own rate.
 type world struct {
-	now    time.Duration
-	queue  events
-	seq    int
+	virtual.Loop
 	nodes  []*node
 	object *peerpb.Seats
 	// hint is what the holder's lease entry says about the seats.
@@ -84,18 +60,10 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{at: w.now + d, seq: w.seq, do: do})
-}
-
-func (w *world) run(until time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at <= until {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	w.After(d, func() {
+		do()
 		w.check()
-	}
-	w.now = until
+	})
 }
 
 func (w *world) check() {
@@ -106,14 +74,14 @@
 		}
 	}
 	if len(holders) > 0 {
-		w.gap = max(w.gap, w.now-w.lastEnd)
-		w.lastEnd = w.now
+		w.gap = max(w.gap, w.Now-w.lastEnd)
+		w.lastEnd = w.Now
 	}
 	w.holders(holders)
 }
 
 func (n *node) clock() time.Time {
-	return epochStart.Add(time.Duration(float64(n.w.now) * n.rate))
+	return epochStart.Add(time.Duration(float64(n.w.Now) * n.rate))
 }
 
 func (w *world) add(i int, incarnation uint64, rate float64) *node {
@@ -145,7 +113,7 @@
 func (n *node) do(f func()) {
 	switch {
 	case n.dead:
-	case n.w.now < n.paused:
+	case n.w.Now < n.paused:
 		n.waiting = append(n.waiting, f)
 	default:
 		f()
@@ -153,7 +121,7 @@
 }
 
 func (n *node) pause(d time.Duration) {
-	n.paused = n.w.now + d
+	n.paused = n.w.Now + d
 	n.w.after(d, func() {
 		waiting := n.waiting
 		n.waiting = nil
@@ -184,8 +152,8 @@
 func (n *node) tick() {
 	n.do(func() {
 		now := n.clock()
-		if sent := now; !n.w.storeOff && n.w.object != nil && (n.w.now-n.readAt > time.Minute || !n.voter.Active(now)) {
-			n.readAt = n.w.now
+		if sent := now; !n.w.storeOff && n.w.object != nil && (n.w.Now-n.readAt > time.Minute || !n.voter.Active(now)) {
+			n.readAt = n.w.Now
 			object := n.w.object
 			n.w.after(time.Millisecond, func() { n.do(func() { n.voter.Read(n.clock(), sent, object) }) })
 		}
@@ -269,7 +237,7 @@
 		w.slow = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "slow")
 		incarnation, names := uint64(1), len(w.nodes)
 		for range rapid.IntRange(5, 40).Draw(t, "steps") {
-			w.run(w.now + time.Duration(rapid.IntRange(1, 4000).Draw(t, "wait"))*time.Millisecond)
+			w.Run(w.Now + time.Duration(rapid.IntRange(1, 4000).Draw(t, "wait"))*time.Millisecond)
 			i := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")
 			n, other := w.nodes[i], w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "other")]
 			switch rapid.IntRange(0, 9).Draw(t, "fault") {
@@ -391,7 +359,7 @@
 					t.Errorf("got holders %v, want at most one", holders)
 				}
 			})
-			w.run(10 * time.Second)
+			w.Run(10 * time.Second)
 			if count != 1 {
 				t.Fatalf("got %d holders before the fault, want 1", count)
 			}
@@ -400,7 +368,7 @@
 			if test.run > time.Hour {
 				w.interval = 500 * time.Millisecond
 			}
-			w.run(w.now + max(test.run, 30*time.Second))
+			w.Run(w.Now + max(test.run, 30*time.Second))
 			if want := map[bool]int{false: 1, true: 0}[test.nobody]; count != want {
 				t.Errorf("got %d holders at the end, want %d", count, want)
 			}
--- a/internal/core/lease/plan.go
+++ b/internal/core/lease/plan.go
@@ -41,9 +41,6 @@
 	fill(next, ranked, count, true)
 	fill(next, ranked, count, false)
 	next.Forced = current != nil && alive < Majority(len(current.GetSeats()))
-	if next.Forced {
-		next.Previous = nil
-	}
 
 	return next
 }
--- a/internal/core/lease/voter.go
+++ b/internal/core/lease/voter.go
@@ -191,17 +191,12 @@
 	var sources []epochAnswer
 	acknowledged, active := v.sources(now)
 	switch {
-	case v.seats.GetForced():
-		if now.Sub(v.adopted) < Margin(Grace) && len(active) == 0 {
-			return
-		}
-		sources = active
-	case len(v.seats.GetPrevious()) == 0:
-		sources = active
-	case len(acknowledged) >= Majority(len(v.seats.GetPrevious())):
+	case len(v.seats.GetPrevious()) > 0 && len(acknowledged) >= Majority(len(v.seats.GetPrevious())):
 		sources = acknowledged
 	case len(active) > 0:
 		sources = active
+	case v.seats.GetForced() && now.Sub(v.adopted) >= Margin(Grace):
+	case len(v.seats.GetPrevious()) == 0 && !v.seats.GetForced():
 	default:
 		return
 	}
