Join seat, granter and holder of a group and measure a fleet of them

Cause: the bound has to hold, and refusals have to be counted, over the whole fleet and under faults. The daemon and the measures must drive the same code. Change: package core/group joins the state machines, decides when to read the store and what to put there, and finds the granter through its entry, its own seat or the other seats. A leaving granter cuts its grants to the time left, and releases the lease when all of them have expired by any clock; so its successor starts empty, as after an expired lease. Package bench/limits simulates a fleet in virtual time and compares it with an even split.

--- /dev/null
+++ b/internal/bench/limits/fleet.go
@@ -0,0 +1,314 @@
+// Package limits measures the limits of client accounts over a simulated fleet
+// in virtual time: the chosen way against an even split across instances.
+package limits
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/virtual"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/group"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/lease"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/tokens"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+const (
+	// callTimeout is after how long a daemon gives an answer up.
+	callTimeout = 200 * time.Millisecond
+	// tick is how often a daemon looks for messages that are due.
+	tick = 10 * time.Millisecond
+	// storeLatency is the platform's response time.
+	storeLatency = 2 * time.Millisecond
+	// detection is after how long a failed daemon leaves the members.
+	detection = 5 * time.Second
+	// rumor is how long an entry takes to reach the other daemons.
+	rumor = 300 * time.Millisecond
+)
+
+// start is the wall clock at virtual time zero.
+var start = time.Unix(1_700_000_000, 0)
+
+// Fleet is a set of simulated daemons with one group of client accounts.
+type Fleet struct {
+	virtual.Loop
+	Random *rand.Rand
+	// Daemons holds all that ever lived, by order of their start.
+	Daemons []*Daemon
+	// Loss, Duplicates and Slow are the shares of messages that are lost, that
+	// arrive twice and that take up to a second.
+	Loss, Duplicates, Slow float64
+	// Cut holds directed pairs of daemons between which no message passes.
+	Cut map[[2]string]bool
+	// StoreAway makes reads and writes of the store fail.
+	StoreAway bool
+	limits    map[string]tokens.Limit
+	seats     *peerpb.Seats
+	version   uint64
+}
+
+// Daemon is one run of a simulated daemon.
+type Daemon struct {
+	Name string
+	// Group is the state under test.
+	Group *group.Group
+	// ClockRate is the speed of the daemon's clock.
+	ClockRate float64
+	Dead      bool
+	fleet     *Fleet
+	member    lease.Member
+	failed    time.Duration
+	paused    time.Duration
+	resumed   []func()
+	waiters   map[*tokens.Waiter]func(fleet.Take)
+	managed   time.Duration
+}
+
+// NewFleet returns a fleet of count daemons that know the limits.
+func NewFleet(seed uint64, count int, limits map[string]tokens.Limit) *Fleet {
+	f := &Fleet{Random: rand.New(rand.NewPCG(seed, 1)), Cut: map[[2]string]bool{}, limits: limits}
+	for i := range count {
+		f.Start(i, 1, 1)
+	}
+
+	return f
+}
+
+// Start starts a daemon with no state. The number determines its name,
+// address and availability zone.
+func (f *Fleet) Start(number int, incarnation uint64, clockRate float64) *Daemon {
+	d := &Daemon{
+		Name: fmt.Sprintf("daemon%d", number), fleet: f, ClockRate: clockRate, waiters: map[*tokens.Waiter]func(fleet.Take){},
+		managed: f.Now - time.Hour,
+	}
+	d.member = lease.Member{
+		Name: d.Name, AvailabilityZone: fmt.Sprintf("zone%d", number%4), Incarnation: incarnation,
+		PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(number >> 8), byte(number)}), 7000), //nolint:gosec // numbers are small
+	}
+	d.Group = group.New(0, d.member, d.Clock(), rand.New(rand.NewPCG(f.Random.Uint64(), 2)))
+	d.Group.Configure(d.Clock(), f.limits)
+	f.Daemons = append(f.Daemons, d)
+	f.After(0, d.tick)
+
+	return d
+}
+
+// Configure changes the limits; each daemon learns of it within a second.
+func (f *Fleet) Configure(limits map[string]tokens.Limit) {
+	f.limits = limits
+	for _, d := range f.Daemons {
+		f.After(time.Duration(f.Random.Int64N(int64(time.Second))), func() {
+			d.do(func() { d.Group.Configure(d.Clock(), limits) })
+		})
+	}
+}
+
+// Clock returns the time on the daemon's own clock.
+func (d *Daemon) Clock() time.Time {
+	return start.Add(time.Duration(float64(d.fleet.Now) * d.ClockRate))
+}
+
+// Kill stops the daemon at once.
+func (d *Daemon) Kill() { d.Dead, d.failed = true, d.fleet.Now }
+
+// Restart kills the daemon and starts it in place with nothing.
+func (d *Daemon) Restart() *Daemon {
+	d.Kill()
+	number := d.member.PeerAddress.Addr().As4()
+
+	return d.fleet.Start(int(number[2])<<8+int(number[3]), d.member.Incarnation+1, d.ClockRate)
+}
+
+// Leave gives the lease up; the daemon stops a second later.
+func (d *Daemon) Leave() {
+	d.Group.End(d.Clock())
+	d.fleet.After(time.Second, d.Kill)
+}
+
+// Pause stops the daemon's processing, but not its clock. What came in the
+// meantime is processed in any order afterwards.
+func (d *Daemon) Pause(length time.Duration) {
+	d.paused = d.fleet.Now + length
+	d.fleet.After(length, func() {
+		resumed := d.resumed
+		d.resumed = nil
+		d.fleet.Random.Shuffle(len(resumed), func(i, j int) { resumed[i], resumed[j] = resumed[j], resumed[i] })
+		for _, do := range resumed {
+			d.do(do)
+		}
+	})
+}
+
+// Up reports whether the daemon processes events.
+func (d *Daemon) Up() bool { return !d.Dead && d.fleet.Now >= d.paused }
+
+// Granter returns the daemon that holds the lease, or nil.
+func (f *Fleet) Granter() *Daemon {
+	for _, d := range f.Daemons {
+		if !d.Dead && d.Group.Held(d.Clock()) {
+			return d
+		}
+	}
+
+	return nil
+}
+
+// Named returns the running daemon with a name, or nil.
+func (f *Fleet) Named(name string) *Daemon {
+	for _, d := range f.Daemons {
+		if d.Name == name && !d.Dead {
+			return d
+		}
+	}
+
+	return nil
+}
+
+func (d *Daemon) do(f func()) {
+	switch {
+	case d.Dead:
+	case d.fleet.Now < d.paused:
+		d.resumed = append(d.resumed, f)
+	default:
+		f()
+	}
+}
+
+func (d *Daemon) tick() {
+	if d.Dead {
+		return
+	}
+	d.do(func() {
+		now := d.Clock()
+		for _, m := range d.Group.Messages(now) {
+			d.send(m)
+		}
+		d.resolve(d.Group.Expire(now))
+		d.request()
+		d.manage(now)
+	})
+	d.fleet.After(tick, d.tick)
+}
+
+// Take asks for a token and calls done with the answer.
+func (d *Daemon) Take(account string, deadline time.Duration, done func(fleet.Take)) {
+	now := d.Clock()
+	take, waiter := d.Group.Take(now, account, now.Add(deadline))
+	if waiter == nil {
+		done(take)
+
+		return
+	}
+	d.waiters[waiter] = done
+	d.request()
+}
+
+func (d *Daemon) request() {
+	if m := d.Group.TokenRequest(d.Clock()); m != nil {
+		d.send(*m)
+	}
+}
+
+func (d *Daemon) resolve(waiters []*tokens.Waiter) {
+	for _, w := range waiters {
+		done := d.waiters[w]
+		delete(d.waiters, w)
+		done(w.Take)
+	}
+}
+
+// send carries a message and its answer. A timed-out call is answered with
+// nothing, and a later answer still arrives.
+func (d *Daemon) send(m group.Message) {
+	f := d.fleet
+	answered := false
+	answer := func(frame *peerpb.Frame) {
+		d.do(func() {
+			answered = true
+			d.resolve(d.Group.Answer(d.Clock(), m, frame))
+			d.request()
+		})
+	}
+	f.carry(d.Name, m.To, func() {
+		to := f.Named(m.To)
+		if to == nil {
+			return
+		}
+		to.do(func() {
+			if frame, ok := to.Group.Handle(to.Clock(), d.Name, m.Frame); ok {
+				f.carry(m.To, d.Name, func() { answer(frame) })
+			}
+		})
+	})
+	f.After(callTimeout, func() {
+		if !answered {
+			answer(nil)
+		}
+	})
+}
+
+// carry delivers one way: within a daemon at once, otherwise in 0.1 to 1.1 ms.
+func (f *Fleet) carry(from, to string, deliver func()) {
+	if from == to {
+		f.After(0, deliver)
+
+		return
+	}
+	copies := 1
+	if f.Random.Float64() < f.Duplicates {
+		copies = 2
+	}
+	for range copies {
+		delay := 100*time.Microsecond + time.Duration(f.Random.Int64N(int64(time.Millisecond)))
+		if f.Random.Float64() < f.Slow {
+			delay = time.Duration(f.Random.Int64N(int64(time.Second)))
+		}
+		if !f.Cut[[2]string{from, to}] && f.Random.Float64() >= f.Loss {
+			f.After(delay, deliver)
+		}
+	}
+}
+
+// manage plays the slow part: entries, reads of the store and replacement.
+func (d *Daemon) manage(now time.Time) {
+	f := d.fleet
+	if f.Now-d.managed < time.Second {
+		return
+	}
+	d.managed = f.Now
+	if d.Group.Held(now) {
+		entry := d.Group.Lease()
+		for _, other := range f.Daemons {
+			f.After(rumor, func() { other.do(func() { other.Group.Learn(other.Clock(), entry) }) })
+		}
+	}
+	var members []lease.Member
+	for _, other := range f.Daemons {
+		if !other.Dead || f.Now-other.failed < detection && f.Named(other.Name) == nil {
+			members = append(members, other.member)
+		}
+	}
+	due := d.Group.ReadDue(now)
+	known := d.Group.Seats()
+	proposal := d.Group.Propose(now, members)
+	if f.StoreAway || !due && proposal == nil {
+		return
+	}
+	f.After(storeLatency, func() {
+		found, version := f.seats, f.version
+		f.After(storeLatency, func() {
+			d.do(func() {
+				d.Group.Read(d.Clock(), now, found)
+				if proposal == nil || found.GetEpoch() != known.GetEpoch() || version != f.version {
+					return
+				}
+				f.seats = proposal
+				f.version++
+				d.Group.Read(d.Clock(), d.Clock(), proposal)
+			})
+		})
+	})
+}
--- /dev/null
+++ b/internal/bench/limits/limits_test.go
@@ -0,0 +1,170 @@
+package limits
+
+import (
+	"flag"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/tokens"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20260117", "rapid.checks": "100"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// Guards against refusals inside the rate in the steady state and in a store
+// outage, against admissions beyond rate × t + burst in any scenario, and
+// against a fleet that does worse than an even split.
+func TestScenarios(t *testing.T) {
+	t.Parallel()
+	none := map[string]bool{
+		"steady state, skewed traffic": true, "steady state, at the rate": true, "one client account at 10x its rate": true,
+		"store away for an hour": true, "daemon restarted with nothing": true,
+	}
+	for _, s := range Scenarios() {
+		t.Run(s.Name, func(t *testing.T) {
+			t.Parallel()
+			got := s.Run(1)
+			if none[s.Name] && got.Chosen.Wrong > 0 {
+				t.Errorf("got %d of %d requests refused inside the rate, want none", got.Chosen.Wrong, got.Chosen.Inside)
+			}
+			if got.Chosen.Wrong >= got.Baseline.Wrong {
+				t.Errorf("got %d requests refused inside the rate, want fewer than the %d of an even split", got.Chosen.Wrong, got.Baseline.Wrong)
+			}
+			if excess := max(got.Chosen.Excess, got.Over.Excess); excess > 1e-6 {
+				t.Errorf("got %v tokens above rate × t + burst, want none", excess)
+			}
+			if over := got.Over; over.Inside > 0 && over.Admitted < over.Inside {
+				t.Errorf("got %d admitted above the rate, want at least the %d inside it", over.Admitted, over.Inside)
+			}
+		})
+	}
+}
+
+var tested = map[string]tokens.Limit{
+	"large": {Rate: 200, Burst: 100}, "medium": {Rate: 40, Burst: 10}, "single": {Rate: 20, Burst: 1}, "rare": {Rate: 0.5, Burst: 1},
+}
+
+// hoard makes each daemon expect demand and hold tokens, lets it be quiet for
+// about the time that tokens last, and then floods all daemons.
+func hoard(f *Fleet, admissions map[string][]time.Duration) {
+	for _, name := range slices.Sorted(maps.Keys(f.limits)) {
+		burst := f.limits[name].Burst
+		send := func(count int) {
+			for range count {
+				d := f.Daemons[f.Random.IntN(len(f.Daemons))]
+				deadline := time.Duration(f.Random.Int64N(int64(time.Second)))
+				d.do(func() {
+					d.Take(name, deadline, func(take fleet.Take) {
+						if take.Outcome == fleet.Taken {
+							admissions[name] = append(admissions[name], f.Now)
+						}
+					})
+				})
+			}
+		}
+		var cycle func()
+		cycle = func() {
+			busy := time.Duration(f.Random.IntN(4)) * 100 * time.Millisecond
+			for at := time.Duration(0); at < busy; at += 20 * time.Millisecond {
+				f.After(at, func() { send(f.Random.IntN(burst/4 + 2)) })
+			}
+			flood := busy + time.Duration(f.Random.Int64N(int64(700*time.Millisecond)))
+			f.After(flood, func() { send(3 * burst) })
+			f.After(flood+time.Duration(f.Random.Int64N(int64(time.Second))), cycle)
+		}
+		f.After(0, cycle)
+	}
+}
+
+// Guards against more than rate × t + burst admissions in any window, over all
+// holders and granters, under any mix of faults. The rate counts by the
+// fastest clock among the daemons, since the granter refills by its own.
+func TestBound(t *testing.T) {
+	t.Parallel()
+	admitted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		limits := map[string]tokens.Limit{}
+		for _, name := range []string{"large", "medium", "single", "rare"} {
+			limits[name] = tested[name]
+		}
+		f := NewFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "daemons"), limits)
+		fastest := 0.0
+		for _, d := range f.Daemons {
+			d.ClockRate = rapid.SampledFrom([]float64{0.95, 1, 1.05}).Draw(t, "clock rate")
+			fastest = max(fastest, d.ClockRate)
+		}
+		f.Run(8 * time.Second)
+		f.Loss = rapid.SampledFrom([]float64{0, 0, 0.1, 0.3}).Draw(t, "loss")
+		f.Duplicates = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "duplicates")
+		f.Slow = rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "slow")
+		admissions := map[string][]time.Duration{}
+		hoard(f, admissions)
+		names := 100
+		for range rapid.IntRange(3, 12).Draw(t, "steps") {
+			f.Run(f.Now + time.Duration(rapid.IntRange(1, 3000).Draw(t, "wait"))*time.Millisecond)
+			d, other := f.Daemons[rapid.IntRange(0, len(f.Daemons)-1).Draw(t, "daemon")], f.Daemons[rapid.IntRange(0, len(f.Daemons)-1).Draw(t, "other")]
+			if granter := f.Granter(); granter != nil && rapid.Bool().Draw(t, "granter") {
+				d = granter
+			}
+			if d.Dead {
+				continue
+			}
+			switch rapid.IntRange(0, 7).Draw(t, "fault") {
+			case 0, 1:
+				d.Pause(time.Duration(rapid.IntRange(1, 7000).Draw(t, "pause")) * time.Millisecond)
+			case 2:
+				d.Restart()
+			case 3:
+				d.Kill()
+				names++
+				f.Start(names, 1, d.ClockRate)
+			case 4:
+				names++
+				f.Start(names, 1, d.ClockRate)
+				d.Leave()
+			case 5:
+				f.Cut[[2]string{d.Name, other.Name}] = true
+			case 6:
+				clear(f.Cut)
+				f.StoreAway = !f.StoreAway
+			case 7:
+				changed := map[string]tokens.Limit{}
+				for _, name := range slices.Sorted(maps.Keys(tested)) {
+					limit := tested[name]
+					if rapid.IntRange(0, 3).Draw(t, "lower") > 0 {
+						limit = tokens.Limit{Rate: limit.Rate / 3, Burst: max(1, limit.Burst/5)}
+					}
+					changed[name] = limit
+				}
+				if rapid.IntRange(0, 3).Draw(t, "remove") == 0 {
+					delete(changed, "medium")
+				}
+				f.Configure(changed)
+			}
+		}
+		f.Run(f.Now + 5*time.Second)
+		for name, limit := range tested {
+			admitted += len(admissions[name])
+			limit.Rate *= fastest
+			if got := Excess(limit, admissions[name]); got > 1e-5 {
+				t.Errorf("account %s: got %v tokens above rate × t + burst, want none", name, got)
+			}
+		}
+	})
+	if admitted < 10_000 {
+		t.Errorf("got %d admissions over all cases, want at least 10,000 to make the property count", admitted)
+	}
+}
--- /dev/null
+++ b/internal/bench/limits/scenarios.go
@@ -0,0 +1,113 @@
+package limits
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/tokens"
+)
+
+// accounts returns the loads of eight client accounts, a few large, each at a
+// share of its rate and with most requests at one daemon.
+func accounts(share float64) []Load {
+	var out []Load
+	for i, l := range []tokens.Limit{
+		{Rate: 200, Burst: 400},
+		{Rate: 100, Burst: 200},
+		{Rate: 50, Burst: 100},
+		{Rate: 20, Burst: 40},
+		{Rate: 10, Burst: 20},
+		{Rate: 10, Burst: 5},
+		{Rate: 5, Burst: 1},
+		{Rate: 0.5, Burst: 1},
+	} {
+		out = append(out, Load{Account: fmt.Sprintf("account%0*d", i+1, i), Limit: l, Offered: share * l.Rate, Skew: 0.8})
+	}
+
+	return out
+}
+
+func greedy() []Load {
+	out := accounts(0.9)
+	out[2].Offered = 10 * out[2].Limit.Rate
+
+	return out
+}
+
+// Scenarios returns the measures of the design's decision on limits.
+func Scenarios() []Scenario {
+	kill := func(f *Fleet) {
+		if d := f.Granter(); d != nil {
+			d.Kill()
+		}
+	}
+
+	return []Scenario{
+		{Name: "steady state, skewed traffic", Daemons: 8, Loads: accounts(0.9), Length: 5 * time.Minute},
+		{Name: "steady state, at the rate", Daemons: 8, Loads: accounts(1), Length: 5 * time.Minute},
+		{Name: "one client account at 10x its rate", Daemons: 8, Loads: greedy(), Length: time.Minute},
+		{Name: "store away for an hour", Daemons: 8, Loads: accounts(0.9)[2:], Length: 75 * time.Minute, Fault: func(f *Fleet) {
+			f.StoreAway = true
+			f.After(time.Hour, func() { f.StoreAway = false })
+		}},
+		{Name: "granter killed", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: kill},
+		{Name: "store away and granter killed", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: func(f *Fleet) {
+			f.StoreAway = true
+			kill(f)
+		}},
+		{Name: "granter paused past its lease", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: func(f *Fleet) {
+			f.Granter().Pause(6 * time.Second)
+		}},
+		{Name: "granter leaves", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: func(f *Fleet) { f.Granter().Leave() }},
+		{Name: "one-way partition from a zone", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: func(f *Fleet) {
+			for _, a := range f.Daemons {
+				for _, b := range f.Daemons {
+					if a.member.AvailabilityZone == f.Granter().member.AvailabilityZone && b.member.AvailabilityZone != a.member.AvailabilityZone {
+						f.Cut[[2]string{a.Name, b.Name}] = true
+					}
+				}
+			}
+			f.After(10*time.Second, func() { clear(f.Cut) })
+		}},
+		{Name: "daemon restarted with nothing", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: func(f *Fleet) {
+			for _, d := range f.Daemons {
+				if d != f.Granter() {
+					d.Restart()
+
+					return
+				}
+			}
+		}},
+		{Name: "granter restarted with nothing", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: func(f *Fleet) { f.Granter().Restart() }},
+		{Name: "membership changing", Daemons: 8, Loads: accounts(0.9), Length: 5 * time.Minute, Fault: func(f *Fleet) {
+			for i := range 8 {
+				f.After(time.Duration(i)*20*time.Second, func() {
+					f.Start(100+i, 1, 1)
+					f.Named(fmt.Sprintf("daemon%d", i)).Leave()
+				})
+			}
+		}},
+	}
+}
+
+// Print writes the results of all scenarios as a table.
+func Print(w io.Writer, seed uint64) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, err := fmt.Fprintln(table, "scenario\tinside\twrong, chosen\t(away)\twrong, even split\tmean wait\texcess\tover: offered\tadmitted")
+	for _, s := range Scenarios() {
+		if err != nil {
+			return err
+		}
+		r := s.Run(seed)
+		_, err = fmt.Fprintf(table, "%s\t%d\t%d (%.3f%%)\t%d\t%d (%.2f%%)\t%v\t%.3f\t%d\t%d\n", s.Name, r.Chosen.Inside,
+			r.Chosen.Wrong, 100*r.Chosen.WrongRatio(), r.Chosen.Away, r.Baseline.Wrong, 100*r.Baseline.WrongRatio(),
+			(r.Chosen.Waited / time.Duration(max(1, r.Chosen.Admitted))).Round(10*time.Microsecond), max(r.Chosen.Excess, r.Over.Excess), r.Over.Offered, r.Over.Admitted)
+	}
+	if err != nil {
+		return err
+	}
+
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/core/group/seats.go
@@ -0,0 +1,91 @@
+package group
+
+import (
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/lease"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+const (
+	// readRetry is the time between reads of a daemon that lacks what the
+	// store's object tells, such as a seat that may not vote.
+	readRetry = time.Second
+	// findInterval is the time between reads of a daemon without a seat that
+	// finds no granter.
+	findInterval = 10 * time.Second
+	// replaceAfter gives a failed daemon time to restart in place.
+	replaceAfter = 10 * time.Second
+	// takeOverAfter leaves replacement to the granter while there is one.
+	takeOverAfter = 30 * time.Second
+	// forceAfter delays a forced repair, which stops the group for lease.Grace
+	// if the old seats turn out to be alive but unable to acknowledge.
+	forceAfter = 2 * time.Minute
+)
+
+// ReadDue reports whether to read the seats object now, and counts as a read
+// that was started.
+func (g *Group) ReadDue(now time.Time) bool {
+	if now.Before(g.nextRead) {
+		return false
+	}
+	seated, active := g.Seated(now)
+	switch {
+	case g.Seats() == nil || seated && !active:
+		g.nextRead = now.Add(readRetry)
+	case !seated && !g.searching:
+		return false
+	default:
+		g.nextRead = now.Add(findInterval)
+	}
+
+	return true
+}
+
+// Read takes over the object that a read sent at sent has found; seats is nil
+// if the store has none. A read that failed is not reported.
+func (g *Group) Read(now, sent time.Time, seats *peerpb.Seats) {
+	if seats != nil {
+		g.voter.Read(now, sent, seats)
+		g.candidate.Observe(g.voter.Seats())
+	}
+	if seated, active := g.Seated(now); seated && active {
+		g.nextRead = now.Add(lease.ReadInterval)
+	}
+}
+
+// Propose returns the object to put into the store in place of the known one,
+// or nil. Members are the live daemons, this one included.
+func (g *Group) Propose(now time.Time, members []lease.Member) *peerpb.Seats {
+	seats := g.Seats()
+	elected := g.candidate.Elected(now)
+	if elected && (len(seats.GetPrevious()) > 0 || seats.GetForced()) {
+		return &peerpb.Seats{Group: seats.GetGroup(), Epoch: seats.GetEpoch(), Seats: seats.GetSeats()}
+	}
+	next := lease.Plan(g.number, seats, members)
+	if next == nil {
+		g.misplaced = time.Time{}
+
+		return nil
+	}
+	if seats == nil {
+		return next
+	}
+	if g.misplaced.IsZero() {
+		g.misplaced = now
+	}
+	wait := takeOverAfter
+	switch {
+	case next.GetForced():
+		wait = forceAfter
+	case g.Held(now) && !elected:
+		return nil
+	case elected:
+		wait = replaceAfter
+	}
+	if now.Sub(g.misplaced) < wait {
+		return nil
+	}
+
+	return next
+}
