--- a/internal/daemon/configuration/keys.go
+++ b/internal/daemon/configuration/keys.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/kumquatshelf/kumquatshelf/internal/config/keystore"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
-// KeyKind is the store's kind of keys. Their names are hashes in hex.
-const KeyKind = "Key"
-
 // Versions of a key's entry.
 const (
 	KeyGiven     = 1
@@ -31,14 +27,8 @@
 	reconcileSpread = 2 * time.Second
 )
 
-// StoredKey is the value of a key in the store, as JSON.
-type StoredKey struct {
-	ClientAccount string
-	Withdrawn     bool
-}
-
 // KeyEntry returns the entry of a key.
-func KeyEntry(hash string, key StoredKey) fleet.Entry {
+func KeyEntry(hash string, key keystore.Key) fleet.Entry {
 	entry := fleet.Entry{Kind: fleet.KindKey, Key: hash, Version: KeyGiven}
 	if key.Withdrawn {
 		entry.Version = KeyWithdrawn
@@ -48,19 +38,12 @@
 	return entry
 }
 
-// IsKeyHash reports whether name is a SHA-256 hash in lower-case hex.
-func IsKeyHash(name string) bool {
-	raw, err := hex.DecodeString(name)
-
-	return err == nil && len(raw) == 32 && hex.EncodeToString(raw) == name
-}
-
 // watchKeys turns the store's keys into entries.
 func (l *Loader) watchKeys(ctx context.Context, random *rand.Rand) {
-	l.watch(ctx, KeyKind, random, func(object fleet.Object) {
-		var key StoredKey
-		if err := json.Unmarshal(object.Value, &key); err != nil || !IsKeyHash(object.Name) {
-			l.Log.Warn("object in the store is not a key", "Kind", KeyKind, "Version", object.Version)
+	l.watch(ctx, keystore.Kind, random, func(object fleet.Object) {
+		key, ok := keystore.Decode(object)
+		if !ok {
+			l.Log.Warn("object in the store is not a key", "Kind", keystore.Kind, "Version", object.Version)
 
 			return
 		}
@@ -95,7 +78,7 @@
 			if _, ok := l.settled.Load(hash); ok {
 				continue
 			}
-			if l.withdraw(ctx, hash, account) {
+			if _, outcome := keystore.Withdraw(ctx, l.store, hash, account); outcome == fleet.StoreOK {
 				l.settled.Store(hash, true)
 			} else if ctx.Err() != nil || time.Since(l.LastContact()) > reconcileInterval {
 				break // the store is away, and the next pass tries again
@@ -109,7 +92,7 @@
 func (l *Loader) withdrawals() map[string]string {
 	pending := map[string]string{}
 	l.Entries.Range(fleet.KindKey, func(entry fleet.Entry) {
-		if _, ok := l.settled.Load(entry.Key); ok || entry.Version < KeyWithdrawn || !IsKeyHash(entry.Key) {
+		if _, ok := l.settled.Load(entry.Key); ok || entry.Version < KeyWithdrawn || !keystore.IsHash(entry.Key) {
 			return
 		}
 		var key peerpb.Key
@@ -120,31 +103,3 @@
 
 	return pending
 }
-
-// withdraw ensures that the store has a key as withdrawn. It returns false if
-// that is not certain.
-func (l *Loader) withdraw(ctx context.Context, hash, account string) bool {
-	object, outcome := l.store.Get(ctx, KeyKind, hash)
-	condition := fleet.IfAbsent
-	switch outcome {
-	case fleet.StoreNotFound:
-	case fleet.StoreOK:
-		condition = fleet.IfVersion(object.Version)
-		var key StoredKey
-		if json.Unmarshal(object.Value, &key) == nil {
-			if key.Withdrawn {
-				return true
-			}
-			account = key.ClientAccount
-		}
-	default:
-		return false
-	}
-	value, err := json.Marshal(StoredKey{ClientAccount: account, Withdrawn: true})
-	if err != nil {
-		panic("encoding a key: " + err.Error())
-	}
-	outcome = l.store.Put(ctx, fleet.Object{Kind: KeyKind, Name: hash, Value: value}, condition)
-
-	return outcome == fleet.StoreOK
-}
--- a/internal/daemon/configuration/keys_test.go
+++ b/internal/daemon/configuration/keys_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,23 +10,22 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/kumquatshelf/kumquatshelf/internal/config/keystore"
 	"github.com/kumquatshelf/kumquatshelf/internal/config/publication"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/standin/platform"
 )
 
+// putKey gives or withdraws a key as the operators' client does.
 func (f *testFleet) putKey(hash string, withdrawn bool) {
-	value, _ := json.Marshal(StoredKey{ClientAccount: "A", Withdrawn: withdrawn})
 	for range 50 {
-		object, outcome := f.store.Get(context.Background(), KeyKind, hash)
-		condition := fleet.IfAbsent
-		if outcome == fleet.StoreOK {
-			if !withdrawn {
-				return // a given or withdrawn key is never given again
-			}
-			condition = fleet.IfVersion(object.Version)
+		var outcome fleet.StoreOutcome
+		if withdrawn {
+			_, outcome = keystore.Withdraw(context.Background(), f.store, hash, "A")
+		} else {
+			outcome = keystore.Give(context.Background(), f.store, hash, "A")
 		}
-		if outcome != fleet.StoreUnavailable && f.store.Put(context.Background(), fleet.Object{Kind: KeyKind, Name: hash, Value: value}, condition) == fleet.StoreOK {
+		if outcome == fleet.StoreOK || outcome == fleet.StoreConflict {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -63,10 +61,10 @@
 			withdrawn[hash] = true
 			go f.putKey(hash, true)
 			// The operators' client tells a daemon too.
-			f.daemons[names[step.Daemon]].Publish(KeyEntry(hash, StoredKey{Withdrawn: true}))
+			f.daemons[names[step.Daemon]].Publish(KeyEntry(hash, keystore.Key{Withdrawn: true}))
 		case "withdraw on daemon":
 			withdrawn[hash] = true
-			f.daemons[names[step.Daemon]].Publish(KeyEntry(hash, StoredKey{Withdrawn: true}))
+			f.daemons[names[step.Daemon]].Publish(KeyEntry(hash, keystore.Key{Withdrawn: true}))
 		case "outage":
 			f.store.SetFaults(platform.Faults{Outage: true})
 		case "slow":
@@ -101,7 +99,7 @@
 func (f *testFleet) compareKeys(given, withdrawn map[string]bool) []string {
 	var problems []string
 	for hash := range withdrawn {
-		object, _ := f.store.Get(context.Background(), KeyKind, hash)
+		object, _ := f.store.Get(context.Background(), keystore.Kind, hash)
 		if !strings.Contains(string(object.Value), `"Withdrawn":true`) {
 			problems = append(problems, fmt.Sprintf("got %s in the store, want the key withdrawn", object.Value))
 		}
@@ -115,7 +113,7 @@
 			}
 		}
 		for hash := range given {
-			if _, outcome := f.store.Get(context.Background(), KeyKind, hash); outcome == fleet.StoreOK && versions[hash] == 0 {
+			if _, outcome := f.store.Get(context.Background(), keystore.Kind, hash); outcome == fleet.StoreOK && versions[hash] == 0 {
 				problems = append(problems, fmt.Sprintf("got no entry on %s, want the given key", name))
 			}
 		}
