--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,33 @@
+// Command bench prints the measures of the decisions beside their baselines.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/health"
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/table"
+)
+
+type arguments struct {
+	Seeds int `arg:"--seeds" default:"4" help:"runs per measure, each with its own fixed seed"`
+}
+
+// sections returns all groups of measures in the order of the table.
+func sections() []table.Section {
+	return []table.Section{health.Section}
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	if args.Seeds < 1 {
+		parser.Fail("--seeds must be at least 1")
+	}
+	if err := table.Write(os.Stdout, sections(), args.Seeds); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
