--- a/internal/core/balance/tracker.go
+++ b/internal/core/balance/tracker.go
@@ -95,6 +95,16 @@
 	s.avoidUntil = now.Add(pause)
 }
 
+// Load returns the load that the upstream's last answer carried.
+func (t *Tracker) Load(upstream string) fleet.Load {
+	s := t.upstreams[upstream]
+	if s == nil {
+		return fleet.Load{}
+	}
+
+	return s.load
+}
+
 // Forget drops upstreams for which keep reports false.
 func (t *Tracker) Forget(keep func(upstream string) bool) {
 	for name := range t.upstreams {
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -73,6 +73,7 @@
 	running  *gate
 	streams  *streams
 	choices  *choices
+	spends   spends
 	// wake has room for one signal, since the watcher looks at all streams.
 	wake chan struct{}
 }
@@ -232,6 +233,8 @@
 	var refusal fleet.Reply
 
 	take := in.Limiter.Take(ctx, clientAccount, deadline)
+	in.spends.add(clientAccount, take.Outcome, time.Now())
+
 	switch take.Outcome {
 	case fleet.Taken:
 		return fleet.Reply{}
--- /dev/null
+++ b/internal/daemon/server/follow.go
@@ -0,0 +1,198 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+// follow starts one goroutine for each thing that is passed on between the
+// parts of the daemon.
+func (s *Server) follow(ctx context.Context) {
+	s.running.Go(func() { s.entries(ctx, fleet.KindMember, s.directory.Update) })
+	s.running.Go(func() { s.entries(ctx, fleet.KindKey, s.applyKey) })
+	s.running.Go(func() { s.entries(ctx, fleet.KindDrain, s.applyDrain) })
+	s.running.Go(func() { s.followConfiguration(ctx) })
+	s.running.Go(func() { s.followUpstreams(ctx) })
+}
+
+// entries passes on the entries of a kind, first those that are known.
+func (s *Server) entries(ctx context.Context, kind fleet.EntryKind, apply func(fleet.Entry)) {
+	changes, end := s.membership.Subscribe(kind)
+	defer end()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case entry, ok := <-changes:
+			if !ok {
+				return
+			}
+
+			apply(entry)
+		}
+	}
+}
+
+func (s *Server) applyKey(entry fleet.Entry) {
+	var key peerpb.Key
+
+	hash, ok := keys.ParseHash(entry.Key)
+	if !ok || proto.Unmarshal(entry.Value, &key) != nil {
+		s.log.Warn("malformed key entry", "hash", entry.Key)
+
+		return
+	}
+
+	status := keys.Given
+	if key.GetWithdrawn() {
+		status = keys.Withdrawn
+	}
+
+	if s.keys.Apply(hash, key.GetClientAccount(), status) && status == keys.Withdrawn {
+		s.ingress.KeysChanged()
+	}
+}
+
+// applyDrain respects an operator's drain of a local upstream.
+func (s *Server) applyDrain(entry fleet.Entry) {
+	var drain peerpb.Drain
+
+	if proto.Unmarshal(entry.Value, &drain) != nil {
+		s.log.Warn("malformed drain entry", "upstream", entry.Key)
+
+		return
+	}
+
+	// Every daemon respects it, since an upstream may announce itself later.
+	if drain.GetDraining() {
+		s.egress.Drain(entry.Key)
+	} else {
+		s.egress.Undrain(entry.Key)
+	}
+}
+
+func (s *Server) followConfiguration(ctx context.Context) {
+	changes, end := s.loader.Subscribe()
+	defer end()
+
+	for {
+		if configuration := s.loader.Current(); configuration != nil {
+			s.limits.Configure(configuration)
+			s.ingress.Configure(configuration)
+			s.membership.SetConfigurationVersion(configuration.Version)
+		}
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-changes:
+		}
+	}
+}
+
+func (s *Server) followUpstreams(ctx context.Context) {
+	for {
+		s.membership.SetUpstreams(s.egress.Upstreams())
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.egress.Changed():
+		}
+	}
+}
+
+// Contact tells how fresh the daemon's knowledge of keys is.
+func (s *Server) Contact() keys.Contact {
+	contact := s.membership.LastContact()
+
+	return keys.Contact{
+		Store: s.loader.LastContact(), Peer: contact.Any, OtherZone: contact.OtherZone,
+		KnowsPeers: contact.KnewPeer, KnowsOtherZones: contact.KnewOtherZone,
+	}
+}
+
+// Services returns the services of the installed configuration.
+func (s *Server) Services() []fleet.Service {
+	configuration := s.loader.Current()
+	if configuration == nil {
+		return nil
+	}
+
+	list := make([]fleet.Service, 0, len(configuration.Services))
+	for _, service := range configuration.Services {
+		list = append(list, service)
+	}
+
+	return list
+}
+
+// Relay reports whether this daemon watches the store for its availability
+// zone.
+func (s *Server) Relay() bool {
+	for _, relay := range s.membership.Relays()[s.settings.AvailabilityZone] {
+		if relay == s.settings.Name {
+			return true
+		}
+	}
+
+	return false
+}
+
+// signals adapts subscriptions to entries to those that only tell that
+// something changed.
+type signals struct {
+	*Server
+}
+
+// Publish merges an entry into the set.
+func (s signals) Publish(entry fleet.Entry) { s.membership.Publish(entry) }
+
+// Range calls visit for each entry of a kind.
+func (s signals) Range(kind fleet.EntryKind, visit func(fleet.Entry)) { s.membership.Range(kind, visit) }
+
+// Subscribe returns a channel that receives after entries of the kind changed.
+func (s signals) Subscribe(kind fleet.EntryKind) (<-chan struct{}, func()) {
+	changes, end := s.membership.Subscribe(kind)
+	changed := make(chan struct{}, 1)
+
+	go func() {
+		for range changes {
+			select {
+			case changed <- struct{}{}:
+			default:
+			}
+		}
+	}()
+
+	return changed, end
+}
+
+// entriesPort adapts the membership for the arbiter and the limits.
+type entriesPort struct {
+	*Server
+}
+
+// Publish merges an entry into the set.
+func (e entriesPort) Publish(entry fleet.Entry) { e.membership.Publish(entry) }
+
+// Range calls visit for each entry of a kind.
+func (e entriesPort) Range(kind fleet.EntryKind, visit func(fleet.Entry)) {
+	e.membership.Range(kind, visit)
+}
+
+// Subscribe returns the entries of a kind as they change.
+func (e entriesPort) Subscribe(kind fleet.EntryKind) (<-chan fleet.Entry, func()) {
+	return e.membership.Subscribe(kind)
+}
+
+// joinTimeout is how long a starting daemon waits for a peer before it serves
+// without one.
+const joinTimeout = 2 * time.Second
--- /dev/null
+++ b/internal/daemon/server/handler.go
@@ -0,0 +1,78 @@
+package server
+
+import (
+	"context"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/adapter/peer"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/daemon/egress"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+// handler gives the frames of other daemons to the part that they concern.
+type handler struct {
+	*Server
+}
+
+// Opened tells the egress about a session.
+func (h handler) Opened(session fleet.Session) { h.egress.Opened(session) }
+
+// Closed tells the egress about the end of a session.
+func (h handler) Closed(session fleet.Session) { h.egress.Closed(session) }
+
+// Run runs an attempt at a local upstream.
+func (h handler) Run(ctx context.Context, session fleet.Session, attempt fleet.Attempt) fleet.Reply {
+	return h.egress.Run(ctx, session, attempt)
+}
+
+// Cancel cancels an attempt at a local upstream.
+func (h handler) Cancel(
+	ctx context.Context, session fleet.Session, id fleet.AttemptID, egressIncarnation uint64,
+) fleet.CancelResult {
+	return h.egress.CancelSentTo(ctx, session, id, egressIncarnation)
+}
+
+// Control answers a control frame.
+func (h handler) Control(ctx context.Context, from string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
+	switch body := frame.GetBody().(type) {
+	case *peerpb.Frame_FetchPart:
+		return &peerpb.Frame{Body: &peerpb.Frame_Part{Part: h.loader.Handle(body.FetchPart)}}, true
+	case *peerpb.Frame_Evidence:
+		return h.arbiter.Handle(ctx, from, frame), true
+	case *peerpb.Frame_PromiseRequest, *peerpb.Frame_SeatEpoch, *peerpb.Frame_TokenRequest:
+		return h.limits.Handle(ctx, from, frame)
+	}
+
+	return h.membership.Handle(ctx, from, frame)
+}
+
+// forwarding reaches egresses, the daemon's own without a connection.
+type forwarding struct {
+	network *peer.Network
+	local   *egress.Egress
+	// self is the session that stands for the daemon's own ingress.
+	self fleet.Session
+}
+
+// Run runs an attempt at the daemon beside an upstream.
+func (f forwarding) Run(ctx context.Context, daemon string, attempt fleet.Attempt) fleet.Reply {
+	if daemon != f.self.Daemon {
+		return f.network.Run(ctx, daemon, attempt)
+	}
+
+	// Attempts of one request share its header; the upstream's client adds to it.
+	attempt.Request.Header = attempt.Request.Header.Clone()
+
+	return f.local.Run(ctx, f.self, attempt)
+}
+
+// Cancel cancels an attempt at the daemon beside an upstream.
+func (f forwarding) Cancel(
+	ctx context.Context, daemon string, id fleet.AttemptID, egressIncarnation uint64,
+) fleet.CancelResult {
+	if daemon != f.self.Daemon {
+		return f.network.Cancel(ctx, daemon, id, egressIncarnation)
+	}
+
+	return f.local.CancelSentTo(ctx, f.self, id, egressIncarnation)
+}
--- /dev/null
+++ b/internal/daemon/server/operator.go
@@ -0,0 +1,223 @@
+package server
+
+import (
+	"cmp"
+	"context"
+	"expvar"
+	"slices"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/adapter/operator"
+	"github.com/kumquatshelf/kumquatshelf/internal/audit/trail"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/gossip"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/health"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
+	"github.com/kumquatshelf/kumquatshelf/internal/daemon/configuration"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+// storeRecent is how long after its last answer the store counts as reachable.
+// It is longer than the store lets a watch wait.
+const storeRecent = 30 * time.Second
+
+func (d *Server) startOperator(context.Context) error {
+	router := echo.New()
+	router.GET("/Metrics", echo.WrapHandler(expvar.Handler()))
+	operator.Register(router, d)
+
+	return d.serve("operators", d.settings.OperatorAddress, router)
+}
+
+// Name returns the daemon's name.
+func (d *Server) Name() string {
+	return d.settings.Name
+}
+
+// WithdrawKey withdraws a key in the whole fleet. The store learns of it from
+// the daemons that watch it, also after an outage.
+func (d *Server) WithdrawKey(hash keys.Hash, who string) {
+	account, _ := d.keys.Check(hash)
+	entry := configuration.KeyEntry(hash.String(), configuration.StoredKey{ClientAccount: account, Withdrawn: true})
+
+	d.membership.Publish(entry)
+	// The own table is not left to the subscription, because the operator is
+	// told that this daemon refuses the key.
+	d.applyKey(entry)
+	d.log.Info("key withdrawn", "hash", hash.String(), "operator", who)
+}
+
+// Drain stops or allows new requests to an upstream, which need not be known.
+func (d *Server) Drain(upstream string, draining bool, who string) {
+	version := uint64(time.Now().UnixNano()) //nolint:gosec // after 1970
+
+	// A later decision replaces an earlier one also when clocks differ.
+	if old, known := d.membership.Get(fleet.KindDrain, upstream); known {
+		version = max(version, old.Version+1)
+	}
+
+	value, err := proto.Marshal(&peerpb.Drain{Upstream: upstream, Draining: draining, Who: who})
+	if err != nil {
+		panic("encoding a drain entry: " + err.Error())
+	}
+
+	entry := fleet.Entry{Kind: fleet.KindDrain, Key: upstream, Version: version, Value: value}
+	d.membership.Publish(entry)
+	d.applyDrain(entry)
+
+	action := trail.ActionDrain
+	if !draining {
+		action = trail.ActionUndrain
+	}
+
+	d.audit.Add(trail.Record{Who: who, When: time.Now(), Action: action, Subject: upstream})
+}
+
+// Known reports whether an upstream is announced anywhere.
+func (d *Server) Known(upstream string) bool {
+	for _, service := range d.directory.Services() {
+		for _, one := range d.directory.Upstreams(service) {
+			if one.Name == upstream {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
+// Status returns this daemon's view of the fleet.
+func (d *Server) Status() operator.Status {
+	contact := d.loader.LastContact()
+	status := operator.Status{
+		Daemon: d.settings.Name,
+		Store: operator.Store{
+			Reachable: !contact.IsZero() && time.Since(contact) < storeRecent, LastContact: contact,
+			AuditPending: d.audit.Pending(), AuditDropped: d.audit.Dropped(),
+		},
+	}
+
+	current := d.loader.Current()
+	if current != nil {
+		status.ConfigurationVersion = current.Version
+	}
+
+	_, withdrawn := d.keys.Counts()
+
+	for _, member := range d.membership.Members() {
+		if member.Status == gossip.Faulty {
+			continue
+		}
+
+		one := operator.Daemon{
+			Name: member.Name, AvailabilityZone: member.AvailabilityZone, Region: member.Region,
+			OperatorAddress: member.OperatorAddress, ConfigurationVersion: member.ConfigurationVersion,
+			Leaving: member.Leaving,
+		}
+		if member.Name == d.settings.Name {
+			one.WithdrawnKeys, one.StoreContact = uint64(withdrawn), contact //nolint:gosec // a count
+			one.ConfigurationVersion = status.ConfigurationVersion
+		}
+
+		status.Daemons = append(status.Daemons, one)
+	}
+
+	slices.SortFunc(status.Daemons, func(a, b operator.Daemon) int { return cmp.Compare(a.Name, b.Name) })
+
+	status.Services = d.serviceStatus(current)
+	status.ClientAccounts = d.accountStatus(current)
+
+	return status
+}
+
+func (d *Server) serviceStatus(current *fleet.Configuration) []operator.Service {
+	names := d.directory.Services()
+
+	if current != nil {
+		for name := range current.Services {
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+
+	slices.Sort(names)
+
+	list := make([]operator.Service, 0, len(names))
+
+	for _, name := range names {
+		var floor fleet.Floor
+		if current != nil {
+			floor = current.Services[name].Floor
+		}
+
+		list = append(list, d.oneService(name, floor))
+	}
+
+	return list
+}
+
+func (d *Server) oneService(name string, floor fleet.Floor) operator.Service {
+	now := time.Now()
+	upstreams := d.directory.Upstreams(name)
+	service := operator.Service{Name: name, Floor: health.RequiredSlots(floor, upstreams)}
+
+	for _, upstream := range upstreams {
+		decision := d.arbiter.State(name, upstream.Name, now)
+		one := operator.Upstream{
+			Name: upstream.Name, Daemon: upstream.Daemon, State: upstream.State.String(),
+			Ejection: ejectionName(decision.State), Slots: upstream.Slots,
+		}
+
+		if decision.State != health.None {
+			one.EjectionReason = decision.Reason + ", decided by " + decision.Arbiter
+		}
+
+		service.Slots += upstream.Slots
+		if upstream.Alive && upstream.State == fleet.Ready && decision.State != health.Ejected {
+			service.Healthy += upstream.Slots
+		}
+
+		load := d.ingress.Load(upstream.Name)
+		one.InFlight, one.Queued = load.InFlight, load.Queued
+		service.Upstreams = append(service.Upstreams, one)
+	}
+
+	slices.SortFunc(service.Upstreams, func(a, b operator.Upstream) int { return cmp.Compare(a.Name, b.Name) })
+
+	return service
+}
+
+func ejectionName(state health.State) string {
+	switch state {
+	case health.Ejected:
+		return operator.EjectionEjected
+	case health.Probation:
+		return operator.EjectionProbation
+	case health.None:
+	}
+
+	return operator.EjectionNone
+}
+
+func (d *Server) accountStatus(current *fleet.Configuration) []operator.ClientAccount {
+	if current == nil {
+		return nil
+	}
+
+	var list []operator.ClientAccount
+
+	for name, account := range current.ClientAccounts {
+		spent, rejected := d.ingress.Spend(name)
+		list = append(list, operator.ClientAccount{
+			Name: name, Rate: account.Rate, Burst: account.Burst, Spent: spent, Rejected: rejected,
+		})
+	}
+
+	slices.SortFunc(list, func(a, b operator.ClientAccount) int { return cmp.Compare(a.Name, b.Name) })
+
+	return list
+}
