--- a/internal/adapter/operator/server.go
+++ b/internal/adapter/operator/server.go
@@ -8,8 +8,8 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
 )
 
-// Daemon does what operators ask for.
-type Daemon interface {
+// Controller does what operators ask for.
+type Controller interface {
 	Name() string
 	Status() Status
 	WithdrawKey(hash keys.Hash, who string)
@@ -22,7 +22,7 @@
 // Register adds the operators' endpoints to a server:
 // GET /Status, POST /Keys/{hash}/Withdraw, POST /Upstreams/{name}/Drain and
 // POST /Upstreams/{name}/Undrain. Actions need the header Operator.
-func Register(e *echo.Echo, daemon Daemon) {
+func Register(e *echo.Echo, daemon Controller) {
 	e.GET("/Status", func(c echo.Context) error { return c.JSON(http.StatusOK, daemon.Status()) })
 
 	e.POST("/Keys/:Hash/Withdraw", action(daemon, func(c echo.Context, who string) (int, string) {
@@ -50,7 +50,7 @@
 	}
 }
 
-func action(daemon Daemon, do func(c echo.Context, who string) (status int, detail string)) echo.HandlerFunc {
+func action(daemon Controller, do func(c echo.Context, who string) (status int, detail string)) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		who := c.Request().Header.Get(HeaderOperator)
 
