--- a/internal/audit/trail/trail.go
+++ b/internal/audit/trail/trail.go
@@ -111,6 +111,14 @@
 	}
 }
 
+// Pending returns the number of records that are not written yet.
+func (t *Trail) Pending() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.count
+}
+
 // Dropped returns the number of records that were never written.
 func (t *Trail) Dropped() uint64 {
 	t.mu.Lock()
--- a/internal/daemon/server/operator.go
+++ b/internal/daemon/server/operator.go
@@ -12,6 +12,7 @@
 
 	"github.com/kumquatshelf/kumquatshelf/internal/adapter/operator"
 	"github.com/kumquatshelf/kumquatshelf/internal/audit/trail"
+	"github.com/kumquatshelf/kumquatshelf/internal/config/keystore"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/gossip"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/health"
@@ -41,7 +42,7 @@
 // the daemons that watch it, also after an outage.
 func (d *Server) WithdrawKey(hash keys.Hash, who string) {
 	account, _ := d.keys.Check(hash)
-	entry := configuration.KeyEntry(hash.String(), configuration.StoredKey{ClientAccount: account, Withdrawn: true})
+	entry := configuration.KeyEntry(hash.String(), keystore.Key{ClientAccount: account, Withdrawn: true})
 
 	d.membership.Publish(entry)
 	// The own table is not left to the subscription, because the operator is
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -277,6 +277,10 @@
 		d.log.Warn("no peer learned of the stop")
 	}
 
+	if !d.audit.Flush(ctx) {
+		d.log.Warn("audit records were not written", "records", d.audit.Pending())
+	}
+
 	d.log.Info("stopped")
 }
 
