--- a/internal/daemon/server/follow.go
+++ b/internal/daemon/server/follow.go
@@ -156,7 +156,9 @@
 func (s signals) Publish(entry fleet.Entry) { s.membership.Publish(entry) }
 
 // Range calls visit for each entry of a kind.
-func (s signals) Range(kind fleet.EntryKind, visit func(fleet.Entry)) { s.membership.Range(kind, visit) }
+func (s signals) Range(kind fleet.EntryKind, visit func(fleet.Entry)) {
+	s.membership.Range(kind, visit)
+}
 
 // Subscribe returns a channel that receives after entries of the kind changed.
 func (s signals) Subscribe(kind fleet.EntryKind) (<-chan struct{}, func()) {
