--- /dev/null
+++ b/internal/bench/membership/fleet.go
@@ -0,0 +1,301 @@
+// Package membership measures gossip at fleet sizes that do not run as
+// processes on one machine. It drives the exchanges of internal/daemon/membership
+// over simulated links, one after another and with a fixed seed.
+package membership
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/gossip"
+	"github.com/kumquatshelf/kumquatshelf/internal/daemon/membership"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+const (
+	// Step is the time between two rounds of rumors.
+	Step = 50 * time.Millisecond
+	// StepsPerPeriod is the number of rounds of rumors in one round of probes
+	// and anti-entropy.
+	StepsPerPeriod = 20
+	// streamOverheadBytes is what yamux adds to each exchange: six headers.
+	streamOverheadBytes = 6 * 12
+)
+
+// Faults are the faults of all links.
+type Faults struct {
+	// Loss is the share of frames that are lost in each direction, 0 to 1.
+	Loss float64
+	// Late is the share of rumors that arrive up to 20 steps later, and so out
+	// of order.
+	Late float64
+	// Cut reports whether frames from one member to another are lost. Members
+	// are numbered from 0.
+	Cut func(from, to int) bool
+}
+
+// Fleet is a simulated fleet.
+type Fleet struct {
+	Faults Faults
+	// Messages and Bytes count frames in both directions, with the overhead of
+	// their streams.
+	Messages, Bytes int64
+
+	zones    int
+	now      time.Time
+	step     int
+	random   *rand.Rand
+	members  []*simulated
+	index    map[string]int
+	late     []lateFrame
+	upstream int
+}
+
+type simulated struct {
+	name        string
+	incarnation uint64
+	replica     *membership.Replica
+	down        bool // stopped or paused
+}
+
+type lateFrame struct {
+	due, from, to int
+	frame         *peerpb.Frame
+}
+
+// NewFleet returns a fleet in which all members know one another.
+func NewFleet(size, zones, upstreamsPerMember int, seed uint64) *Fleet {
+	f := &Fleet{
+		zones:    zones,
+		now:      time.Unix(1_800_000_000, 0),
+		random:   rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // not for secrets
+		index:    map[string]int{},
+		upstream: upstreamsPerMember,
+	}
+	entries := make([]fleet.Entry, size)
+	for i := range size {
+		f.members = append(f.members, &simulated{name: fmt.Sprintf("daemon-%04d", i), incarnation: 1})
+		f.index[f.members[i].name] = i
+		f.start(i)
+		f.With(i, func(node *gossip.Node) { entries[i], _ = node.Get(fleet.KindMember, f.members[i].name) })
+	}
+	for i := range size {
+		f.With(i, func(node *gossip.Node) {
+			node.Merge(entries, f.now)
+			node.Rumors()
+		})
+	}
+
+	return f
+}
+
+// Size returns the number of members.
+func (f *Fleet) Size() int { return len(f.members) }
+
+// Name returns a member's name.
+func (f *Fleet) Name(i int) string { return f.members[i].name }
+
+// Zone returns the number of a member's availability zone.
+func (f *Fleet) Zone(i int) int { return i % f.zones }
+
+// With calls fn with a member's node.
+func (f *Fleet) With(i int, fn func(node *gossip.Node)) {
+	f.members[i].replica.With(func(node *gossip.Node, _ time.Time) { fn(node) })
+}
+
+// Now returns the simulated time.
+func (f *Fleet) Now() time.Time { return f.now }
+
+// Publish lets a member publish an entry.
+func (f *Fleet) Publish(i int, e fleet.Entry) {
+	f.With(i, func(node *gossip.Node) { node.Publish(e, f.now) })
+}
+
+// Pause stops a member without loss of state; Resume lets it go on.
+func (f *Fleet) Pause(i int) { f.members[i].down = true }
+
+// Resume ends a pause.
+func (f *Fleet) Resume(i int) { f.members[i].down = false }
+
+// Down reports whether a member is paused.
+func (f *Fleet) Down(i int) bool { return f.members[i].down }
+
+// Restart replaces a member by one without state, whose incarnation is higher by
+// the given step. With a step of 0 its clock has stood still. While it knows no
+// other member it joins through member 0, or 1 if it is 0.
+func (f *Fleet) Restart(i int, step uint64) {
+	f.members[i].incarnation += step
+	f.members[i].down = false
+	f.start(i)
+	f.join(i)
+}
+
+func (f *Fleet) join(i int) {
+	seed := 0
+	if i == 0 {
+		seed = 1
+	}
+	var peers []string
+	f.With(i, func(node *gossip.Node) { peers = node.Peers(1) })
+	if len(peers) == 0 {
+		f.members[i].replica.Synchronize(context.Background(),
+			func(frame *peerpb.Frame) (*peerpb.Frame, bool) { return f.deliver(i, seed, frame) })
+	}
+}
+
+func (f *Fleet) start(i int) {
+	m := f.members[i]
+	value := MemberValue(m.name, fmt.Sprintf("zone-%02d", f.Zone(i)), f.upstream)
+	node := gossip.NewNode(gossip.Settings{
+		Name: m.name, AvailabilityZone: fmt.Sprintf("zone-%02d", f.Zone(i)),
+		Incarnation: m.incarnation, Describe: membership.Describe,
+	}, value, rand.New(rand.NewPCG(f.random.Uint64(), uint64(i))), f.now) //nolint:gosec // not for secrets
+	m.replica = membership.NewReplica(node)
+	m.replica.Sequential = true
+	m.replica.Now = func() time.Time { return f.now }
+	m.replica.Call = func(_ context.Context, daemon string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
+		to, ok := f.index[daemon]
+		if !ok {
+			return nil, false
+		}
+
+		return f.deliver(i, to, frame)
+	}
+}
+
+// MemberValue returns the value of a member entry as daemons encode it.
+func MemberValue(name, zone string, upstreams int) []byte {
+	m := &peerpb.Member{
+		Name: name, PeerAddress: "10.120.33.44:7401", OperatorAddress: "10.120.33.44:7403",
+		AvailabilityZone: zone, Region: "region-1", ConfigurationVersion: 123456,
+	}
+	for u := range upstreams {
+		m.Upstreams = append(m.Upstreams, &peerpb.Upstream{
+			Name: fmt.Sprintf("%s-%02d", name, u), Service: fmt.Sprintf("service-%04d", u*151%6700),
+			Slots: 3, State: uint32(fleet.Ready), StateSinceUnixNanoseconds: 1_800_000_000_000_000_000,
+		})
+	}
+	value, _ := proto.Marshal(m)
+
+	return value
+}
+
+func (f *Fleet) lost(from, to int) bool {
+	return f.members[to].down || f.members[from].down ||
+		f.Faults.Cut != nil && f.Faults.Cut(from, to) || f.random.Float64() < f.Faults.Loss
+}
+
+func (f *Fleet) count(frame *peerpb.Frame) {
+	f.Messages++
+	f.Bytes += int64(proto.Size(frame)) + 2 + streamOverheadBytes/2
+}
+
+func (f *Fleet) deliver(from, to int, frame *peerpb.Frame) (*peerpb.Frame, bool) {
+	f.count(frame)
+	if f.lost(from, to) {
+		return nil, false
+	}
+	if frame.GetRumor() != nil && f.random.Float64() < f.Faults.Late {
+		f.late = append(f.late, lateFrame{f.step + 1 + f.random.IntN(StepsPerPeriod), from, to, frame})
+
+		return nil, false
+	}
+	answer, ok := f.members[to].replica.Handle(context.Background(), f.members[from].name, frame)
+	f.count(answer)
+	if !ok || f.lost(to, from) {
+		return nil, false
+	}
+
+	return answer, true
+}
+
+// Step runs one round of rumors, and for each member one round of probes and
+// anti-entropy every StepsPerPeriod steps.
+func (f *Fleet) Step() {
+	f.step++
+	f.now = f.now.Add(Step)
+	f.deliverLate()
+	rumors := make([]membership.Rumors, len(f.members))
+	for i, m := range f.members {
+		if !m.down {
+			rumors[i] = m.replica.Collect()
+		}
+	}
+	ctx := context.Background()
+	for i, m := range f.members {
+		m.replica.Spread(ctx, rumors[i])
+		if m.down || f.step%StepsPerPeriod != i%StepsPerPeriod {
+			continue
+		}
+		f.join(i)
+		var targets []string
+		var peer string
+		var known bool
+		f.With(i, func(node *gossip.Node) {
+			node.Tick(f.now)
+			targets = node.ProbeTargets()
+			peer, known = node.SyncPeer()
+		})
+		for _, target := range targets {
+			m.replica.Probe(ctx, target, time.Second, time.Second)
+		}
+		if known {
+			m.replica.Synchronize(ctx, func(frame *peerpb.Frame) (*peerpb.Frame, bool) {
+				return m.replica.Call(ctx, peer, frame)
+			})
+		}
+	}
+}
+
+func (f *Fleet) deliverLate() {
+	kept := f.late[:0]
+	for _, l := range f.late {
+		if l.due > f.step {
+			kept = append(kept, l)
+		} else if !f.lost(l.from, l.to) {
+			f.members[l.to].replica.Handle(context.Background(), f.members[l.from].name, l.frame)
+		}
+	}
+	f.late = kept
+}
+
+// Converged reports whether all members that are not down hold the same set.
+func (f *Fleet) Converged() bool {
+	var want []uint64
+	for i, m := range f.members {
+		if m.down {
+			continue
+		}
+		same := true
+		f.With(i, func(node *gossip.Node) {
+			digest := node.Digest()
+			for b := range want {
+				same = same && digest[b] == want[b]
+			}
+			want = digest
+		})
+		if !same {
+			return false
+		}
+	}
+
+	return true
+}
+
+// StepsUntil steps until the condition holds and returns the number of steps,
+// or limit and false.
+func (f *Fleet) StepsUntil(limit int, condition func() bool) (int, bool) {
+	for steps := range limit {
+		if condition() {
+			return steps, true
+		}
+		f.Step()
+	}
+
+	return limit, condition()
+}
