Add membership: the goroutines that run gossip in a daemon

Cause: a daemon has to join the fleet, keep its member entry up to date and learn of the others' changes. Change: one goroutine each for joining, rumors (every 50 ms), probes and anti-entropy (every second), the suspicion timeout, delayed announcements and the raised incarnation. A changed configuration version is announced with the next other change, or alone after a random delay of up to 20 ms for each member. LastContact keeps that other availability zones were known once, so that isolation does not look like a fleet of one. Besides its seeds at the start, a daemon exchanges with one seed about once a minute.

--- /dev/null
+++ b/internal/daemon/membership/loops.go
@@ -0,0 +1,260 @@
+package membership
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/gossip"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+const (
+	// rumorInterval collects changes that come together; with about 6 hops at
+	// 3,500 members a rumor is everywhere well within the 3 s of R4.
+	rumorInterval = 50 * time.Millisecond
+	// period is the interval of probes and of anti-entropy.
+	period = time.Second
+	// A probe and its indirect probes together end within the period.
+	directTimeout   = 400 * time.Millisecond
+	indirectTimeout = 500 * time.Millisecond
+	callTimeout     = 900 * time.Millisecond
+	// maxExchanges bounds the exchanges of one period with a peer that has more.
+	maxExchanges = 8
+	// joinExchanges bounds the exchanges with one seed: 280,000 keys take about
+	// 120 of 256 KB.
+	joinExchanges = 1000
+	// seedPeriods is the number of periods between exchanges with a seed. It is
+	// no multiple of a usual number of seeds, so that all have their turn.
+	seedPeriods  = 61
+	tickInterval = 250 * time.Millisecond
+	// versionDelay is the greatest delay for each member before a changed
+	// configuration version is announced alone, so that the fleet makes at
+	// most about 50 such announcements a second.
+	versionDelay = 20 * time.Millisecond
+)
+
+func wake(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default: // already woken
+	}
+}
+
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// call is the replica's way to other daemons; it notes completed exchanges.
+func (m *Membership) call(ctx context.Context, daemon string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answer, ok := m.peers.Call(ctx, daemon, frame)
+	if ok {
+		var zone string
+		m.replica.With(func(node *gossip.Node, _ time.Time) { zone = node.Zone(daemon) })
+		m.noteContact(zone != "" && zone != m.settings.AvailabilityZone)
+	}
+	if frame.GetRumor() != nil {
+		m.counters.Rumors.Add(1)
+		if !ok {
+			m.counters.RumorFailures.Add(1)
+		}
+	}
+
+	return answer, ok
+}
+
+func (m *Membership) noteContact(otherZone bool) {
+	m.contactMu.Lock()
+	defer m.contactMu.Unlock()
+	now := time.Now()
+	m.contact.Any = now
+	if otherZone {
+		m.contact.OtherZone = now
+	}
+}
+
+// changed runs while the replica is locked.
+func (m *Membership) changed(changes []fleet.Entry, incarnation uint64) {
+	m.counters.Changes.Add(int64(len(changes)))
+	wake(m.pending)
+	if m.incarnation.Swap(incarnation) != incarnation {
+		m.counters.Raised.Add(1)
+		select {
+		case <-m.raised: // only the last one matters
+		default:
+		}
+		m.raised <- incarnation
+	}
+	m.noteMembers(changes)
+	m.deliver(changes)
+}
+
+func (m *Membership) noteMembers(changes []fleet.Entry) {
+	for _, e := range changes {
+		if e.Kind != fleet.KindMember || e.Key == m.settings.Name {
+			continue
+		}
+		zone, _ := Describe(e.Value)
+		m.contactMu.Lock()
+		m.contact.KnewPeer = true
+		m.contact.KnewOtherZone = m.contact.KnewOtherZone || zone != m.settings.AvailabilityZone
+		m.contactMu.Unlock()
+	}
+}
+
+func (m *Membership) raise() {
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case incarnation := <-m.raised:
+			if m.settings.Raised != nil {
+				m.settings.Raised(incarnation)
+			}
+		}
+	}
+}
+
+// join tries the seeds until one answers, and again whenever no live peer is
+// known. From time to time it exchanges with one seed in any case, so that parts
+// of the fleet that started apart find each other.
+func (m *Membership) join() {
+	if len(m.settings.Seeds) == 0 {
+		close(m.joined)
+
+		return
+	}
+	joined := false
+	for round := 0; ; round++ {
+		var peers []string
+		m.replica.With(func(node *gossip.Node, _ time.Time) { peers = node.Peers(1) })
+		seeds := m.settings.Seeds
+		if len(peers) > 0 && joined {
+			seeds = seeds[round%len(seeds):][:1]
+		}
+		if len(peers) == 0 || !joined || round%seedPeriods == 0 {
+			for _, seed := range seeds {
+				if m.joinThrough(seed) && !joined {
+					joined = true
+					close(m.joined)
+				}
+			}
+		}
+		if !pause(m.ctx, period) {
+			return
+		}
+	}
+}
+
+func (m *Membership) joinThrough(seed netip.AddrPort) bool {
+	call := func(frame *peerpb.Frame) (*peerpb.Frame, bool) {
+		ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
+		defer cancel()
+		answer, ok := m.peers.CallAddress(ctx, seed, frame)
+		if ok {
+			m.noteContact(false)
+		}
+
+		return answer, ok
+	}
+	for range joinExchanges {
+		more, ok := m.replica.Synchronize(m.ctx, call)
+		if !ok {
+			m.counters.JoinFailures.Add(1)
+
+			return false
+		}
+		if !more {
+			break
+		}
+	}
+
+	return true
+}
+
+func (m *Membership) spread() {
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-m.pending:
+		}
+		if !pause(m.ctx, rumorInterval) {
+			return
+		}
+		// A slow peer must not hold up the next rumors.
+		rumors := m.replica.Collect()
+		m.loops.Go(func() { m.replica.Spread(m.ctx, rumors) })
+	}
+}
+
+func (m *Membership) probe() {
+	for pause(m.ctx, period) {
+		var targets []string
+		m.replica.With(func(node *gossip.Node, _ time.Time) { targets = node.ProbeTargets() })
+		for _, target := range targets {
+			m.loops.Go(func() {
+				m.counters.Probes.Add(1)
+				if !m.replica.Probe(m.ctx, target, directTimeout, indirectTimeout) {
+					m.counters.ProbeFailures.Add(1)
+				}
+			})
+		}
+	}
+}
+
+func (m *Membership) synchronize() {
+	for pause(m.ctx, period) {
+		var peer string
+		var known bool
+		m.replica.With(func(node *gossip.Node, _ time.Time) { peer, known = node.SyncPeer() })
+		if !known {
+			continue
+		}
+		call := func(frame *peerpb.Frame) (*peerpb.Frame, bool) { return m.call(m.ctx, peer, frame) }
+		for range maxExchanges {
+			more, ok := m.replica.Synchronize(m.ctx, call)
+			m.counters.Exchanges.Add(1)
+			if !ok {
+				m.counters.ExchangeFailures.Add(1)
+			}
+			if !more {
+				break
+			}
+		}
+	}
+}
+
+func (m *Membership) tick() {
+	for pause(m.ctx, tickInterval) {
+		m.replica.With(func(node *gossip.Node, now time.Time) { node.Tick(now) })
+	}
+}
+
+// announceVersion announces a changed configuration version that no other
+// change has carried.
+func (m *Membership) announceVersion() {
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case <-m.delayed:
+		}
+		members := 0
+		m.replica.With(func(node *gossip.Node, _ time.Time) { members = node.Members() })
+		if !pause(m.ctx, time.Duration(m.random.Int64N(int64(members)*int64(versionDelay)+1))) {
+			return
+		}
+		m.update(func(*peerpb.Member) {})
+	}
+}
