--- a/internal/config/teamfile/combine.go
+++ b/internal/config/teamfile/combine.go
@@ -1,7 +1,6 @@
 package teamfile
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -31,136 +30,175 @@
 }
 
 // Combine validates teams against one another. The configuration is nil if
-// there are findings. Its routes are sorted by host, path prefix and name.
+// there are findings. Its routes are in the order of the files.
 func Combine(version uint64, parsed []Parsed, slots map[string]int) (*fleet.Configuration, inifile.Findings) {
-	c := combiner{
-		configuration: &fleet.Configuration{
-			Version:        version,
-			Services:       map[string]fleet.Service{},
-			ClientAccounts: map[string]fleet.ClientAccount{},
-		},
-		slots: slots,
-		names: map[string]int{},
-		files: parsed,
-	}
+	c := newCombiner(version, parsed, slots)
 	for i := range parsed {
 		c.define(i)
 	}
-	for _, p := range parsed {
-		c.checkServices(p)
-	}
-	slices.SortFunc(c.routes, func(a, b placedRoute) int {
-		return cmp.Or(
-			strings.Compare(a.route.Host, b.route.Host),
-			strings.Compare(a.route.PathPrefix, b.route.PathPrefix),
-			strings.Compare(a.route.Name, b.route.Name),
-			strings.Compare(a.route.Team, b.route.Team),
-		)
-	})
-	c.checkOverlaps()
+	for i := range parsed {
+		c.checkRoutes(i)
+	}
 	if len(c.findings) > 0 {
 		return nil, c.findings
 	}
-	c.configuration.Routes = make([]fleet.Route, len(c.routes))
-	for i, placed := range c.routes {
-		c.configuration.Routes[i] = placed.route
-	}
 
 	return c.configuration, nil
 }
 
-type placedRoute struct {
-	// index is the position of the file among those combined.
-	index int
-	file  string
-	route fleet.Route
-}
-
+// combiner uses one map for each kind of name, sized in advance: at the target,
+// every change passes 331,000 names through it on every daemon.
 type combiner struct {
 	configuration *fleet.Configuration
 	slots         map[string]int
 	files         []Parsed
-	// names maps "Kind name" to the index of the file that defined it.
-	names    map[string]int
-	routes   []placedRoute
+	// teams, services and routeNames hold the index of the defining file.
+	teams      map[string]int
+	services   map[string]int
+	routeNames map[routeName]int
+	// places maps a place to its latest route, by index in the configuration's
+	// routes, and previous maps a route to the one before at the same place,
+	// or to -1.
+	places   map[place]int
+	previous []int
+	// owners is the index of the file of each route.
+	owners   []int
 	findings inifile.Findings
 }
 
-func (c *combiner) report(file, section, key, problem, expected string) {
-	c.findings = append(c.findings, inifile.Finding{File: file, Section: section, Key: key, Problem: problem, Expected: expected})
+// routeName identifies a route. Names are unique within a service, because
+// they tell latencies of like requests apart.
+type routeName struct {
+	service, name string
 }
 
-// claim records that a file defines a name, and reports a second definition.
-// Duplicates within one file are reported by Parse.
-func (c *combiner) claim(index int, id, section, key string) bool {
-	other, taken := c.names[id]
-	if !taken {
-		c.names[id] = index
+type place struct {
+	host, path string
+}
 
-		return true
+func newCombiner(version uint64, parsed []Parsed, slots map[string]int) *combiner {
+	var services, routes, accounts int
+	for _, p := range parsed {
+		services += len(p.Team.Services)
+		routes += len(p.Team.Routes)
+		accounts += len(p.Team.ClientAccounts)
 	}
-	if other != index {
-		c.report(c.files[index].File, section, key, fmt.Sprintf("%s is already defined in %s", id, c.files[other].File),
-			"a name that no other file uses")
+
+	return &combiner{
+		configuration: &fleet.Configuration{
+			Version:        version,
+			Services:       make(map[string]fleet.Service, services),
+			Routes:         make([]fleet.Route, 0, routes),
+			ClientAccounts: make(map[string]fleet.ClientAccount, accounts),
+		},
+		slots:      slots,
+		files:      parsed,
+		teams:      make(map[string]int, len(parsed)),
+		services:   make(map[string]int, services),
+		routeNames: make(map[routeName]int, routes),
+		places:     make(map[place]int, routes),
+		previous:   make([]int, 0, routes),
+		owners:     make([]int, 0, routes),
 	}
+}
+
+func (c *combiner) report(index int, section, key, problem, expected string) {
+	c.findings = append(c.findings, inifile.Finding{
+		File: c.files[index].File, Section: section, Key: key, Problem: problem, Expected: expected,
+	})
+}
 
-	return false
+// reportTwice reports a name that an earlier file defines. Duplicates within
+// one file are reported by Parse.
+func (c *combiner) reportTwice(index, earlier int, name, section, key string) {
+	if index != earlier {
+		c.report(index, section, key, fmt.Sprintf("%s is already defined in %s", name, c.files[earlier].File), "a name that no other file uses")
+	}
 }
 
 func (c *combiner) define(index int) {
-	p := c.files[index]
-	if p.Team.Name != "" {
-		c.claim(index, "Team "+p.Team.Name, "", "Team")
+	team := c.files[index].Team
+	if earlier, ok := c.teams[team.Name]; ok && team.Name != "" {
+		c.reportTwice(index, earlier, "Team "+team.Name, "", "Team")
+	} else {
+		c.teams[team.Name] = index
 	}
-	for _, service := range p.Team.Services {
-		id := kindService + " " + service.Name
-		if !c.claim(index, id, id, "") {
+	for _, service := range team.Services {
+		section := kindService + " " + service.Name
+		if earlier, ok := c.services[service.Name]; ok {
+			c.reportTwice(index, earlier, section, section, "")
+
 			continue
 		}
+		c.services[service.Name] = index
 		c.configuration.Services[service.Name] = service
 		if announced, known := c.slots[service.Name]; known && service.Floor.Slots > announced {
-			c.report(p.File, id, "Floor", fmt.Sprintf("%d slots are above the capacity", service.Floor.Slots),
+			c.report(index, section, "Floor", fmt.Sprintf("%d slots are above the capacity", service.Floor.Slots),
 				fmt.Sprintf("at most the %d slots announced", announced))
 		}
 	}
-	for _, account := range p.Team.ClientAccounts {
-		id := kindClientAccount + " " + account.Name
-		if c.claim(index, id, id, "") {
-			c.configuration.ClientAccounts[account.Name] = account
+	for _, account := range team.ClientAccounts {
+		before := len(c.configuration.ClientAccounts)
+		if c.configuration.ClientAccounts[account.Name] = account; len(c.configuration.ClientAccounts) == before {
+			section := kindClientAccount + " " + account.Name
+			c.reportTwice(index, c.accountOwner(account.Name), section, section, "")
 		}
 	}
-	for _, route := range p.Team.Routes {
-		// Route names tell latencies of like requests apart within a service.
-		c.claim(index, kindRoute+" "+route.Name+" to Service "+route.Service, kindRoute+" "+route.Name, "")
-		c.routes = append(c.routes, placedRoute{index: index, file: p.File, route: route})
+	for _, route := range team.Routes {
+		c.defineRoute(index, route)
 	}
 }
 
-func (c *combiner) checkServices(p Parsed) {
-	for _, route := range p.Team.Routes {
-		if _, ok := c.configuration.Services[route.Service]; !ok && route.Service != "" {
-			c.report(p.File, kindRoute+" "+route.Name, "Service", fmt.Sprintf("no team defines the service %q", route.Service),
+// accountOwner returns the first file that defines a client account. It is
+// looked up only for duplicates, which saves a map of all accounts.
+func (c *combiner) accountOwner(name string) int {
+	return slices.IndexFunc(c.files, func(p Parsed) bool {
+		return slices.ContainsFunc(p.Team.ClientAccounts, func(a fleet.ClientAccount) bool { return a.Name == name })
+	})
+}
+
+func (c *combiner) defineRoute(index int, route fleet.Route) {
+	id := routeName{route.Service, route.Name}
+	if earlier, ok := c.routeNames[id]; ok {
+		section := kindRoute + " " + route.Name
+		c.reportTwice(index, earlier, section+" to Service "+route.Service, section, "")
+	} else {
+		c.routeNames[id] = index
+	}
+	at := place{route.Host, route.PathPrefix}
+	before, ok := c.places[at]
+	if !ok {
+		before = -1
+	}
+	c.places[at] = len(c.configuration.Routes)
+	c.configuration.Routes = append(c.configuration.Routes, route)
+	c.previous = append(c.previous, before)
+	c.owners = append(c.owners, index)
+}
+
+// checkRoutes checks the routes of one file against all others.
+func (c *combiner) checkRoutes(index int) {
+	for _, route := range c.files[index].Team.Routes {
+		if _, ok := c.services[route.Service]; !ok && route.Service != "" {
+			c.report(index, kindRoute+" "+route.Name, "Service", fmt.Sprintf("no team defines the service %q", route.Service),
 				"a service with a section [Service "+route.Service+"] in a team file")
 		}
 	}
-}
-
-// checkOverlaps compares each route with those whose prefix covers its own.
-// These are found by looking up every parent path, which keeps the check
-// linear in the number of routes.
-func (c *combiner) checkOverlaps() {
-	byPlace := make(map[string][]int, len(c.routes))
-	for i, placed := range c.routes {
-		route := placed.route
+	first, _ := slices.BinarySearch(c.owners, index)
+	for i := first; i < len(c.owners) && c.owners[i] == index; i++ {
+		route := &c.configuration.Routes[i]
 		if route.Host == "" || route.PathPrefix == "" {
-			continue
+			continue // reported by Parse
+		}
+		for j := c.previous[i]; j >= 0; j = c.previous[j] {
+			c.checkSame(i, j)
 		}
-		for path := route.PathPrefix; path != ""; path = parentPath(path) {
-			for _, j := range byPlace[route.Host+path] {
-				c.checkPair(placed, c.routes[j], path == route.PathPrefix)
+		for path := parentPath(route.PathPrefix); path != ""; path = parentPath(path) {
+			j, ok := c.places[place{route.Host, path}]
+			for ; ok && j >= 0; j = c.previous[j] {
+				c.checkInside(i, j)
 			}
 		}
-		byPlace[route.Host+route.PathPrefix] = append(byPlace[route.Host+route.PathPrefix], i)
 	}
 }
 
@@ -173,24 +211,31 @@
 	return path[:max(1, strings.LastIndexByte(path, '/'))]
 }
 
-func (c *combiner) checkPair(inner, outer placedRoute, same bool) {
-	section := kindRoute + " " + inner.route.Name
-	where := fmt.Sprintf("[%s %s] in %s", kindRoute, outer.route.Name, outer.file)
-	sameTeam := inner.index == outer.index
-	switch {
-	case same:
-		for _, method := range inner.route.Methods {
-			if slices.Contains(outer.route.Methods, method) {
-				c.report(inner.file, section, "PathPrefix",
-					fmt.Sprintf("%s %s%s overlaps %s", method, inner.route.Host, inner.route.PathPrefix, where),
-					"a host, path prefix and method that no other route has")
+func (c *combiner) where(i int) string {
+	return fmt.Sprintf("[%s %s] in %s", kindRoute, c.configuration.Routes[i].Name, c.files[c.owners[i]].File)
+}
 
-				return
-			}
+// checkSame reports a method that two routes at the same place have.
+func (c *combiner) checkSame(i, j int) {
+	route, other := c.configuration.Routes[i], c.configuration.Routes[j]
+	for _, method := range route.Methods {
+		if slices.Contains(other.Methods, method) {
+			c.report(c.owners[i], kindRoute+" "+route.Name, "PathPrefix",
+				fmt.Sprintf("%s %s%s overlaps %s", method, route.Host, route.PathPrefix, c.where(j)),
+				"a host, path prefix and method that no other route has")
+
+			return
 		}
-	case !sameTeam:
-		c.report(inner.file, section, "PathPrefix",
-			fmt.Sprintf("%s%s is inside %s of %s", inner.route.Host, inner.route.PathPrefix, outer.route.PathPrefix, where),
-			"a path prefix outside those of other teams on the same host")
 	}
 }
+
+// checkInside reports a route below another team's path prefix.
+func (c *combiner) checkInside(i, j int) {
+	if c.owners[i] == c.owners[j] {
+		return
+	}
+	route := c.configuration.Routes[i]
+	c.report(c.owners[i], kindRoute+" "+route.Name, "PathPrefix",
+		fmt.Sprintf("%s%s is inside %s of %s", route.Host, route.PathPrefix, c.configuration.Routes[j].PathPrefix, c.where(j)),
+		"a path prefix outside those of other teams on the same host")
+}
--- a/internal/config/teamfile/teamfile.go
+++ b/internal/config/teamfile/teamfile.go
@@ -73,6 +73,11 @@
 		readSection(&parsed.Team, kind, name, section)
 	}
 
+	// Daemons keep the parsed teams of all files, so that spare capacity adds up.
+	parsed.Team.Services = slices.Clone(parsed.Team.Services)
+	parsed.Team.Routes = slices.Clone(parsed.Team.Routes)
+	parsed.Team.ClientAccounts = slices.Clone(parsed.Team.ClientAccounts)
+
 	return parsed, f.Findings
 }
 
