Look for a larger shift of latency

Cause: nearly all false ejections were by latency, of an upstream whose instance is busy for 5 s (1.4x) and slower than the median by nature (1.1 to 1.2x): together at the test's turning point of 1.6x.

Change: the shift that the test looks for is 1.2 nats instead of 0.92, so that evidence grows from 1.8x on.

--- a/internal/core/health/detector.go
+++ b/internal/core/health/detector.go
@@ -13,9 +13,9 @@
 	// maxFailureRate keeps the likelihoods finite.
 	maxFailureRate = 0.999
 	// latencyShift is the shift of log latency that the latency test looks for.
-	// Its drift turns positive at half the shift, a factor of 1.6, above the
+	// Its drift turns positive at half the shift, a factor of 1.8, above the
 	// usual spread between instances.
-	latencyShift = 0.92
+	latencyShift = 1.2
 	// maxLatencyExcess bounds the excess of an interval's mean log latency, so
 	// that a few very slow requests do not outweigh hundreds of normal ones.
 	maxLatencyExcess = 2.3
