Serve membership while a daemon starts

Change: the handler serves membership from the first moment and passes the sessions on when the egress exists. Releasing leases is bounded by 3 s, because a stop hung for 15 s in the limiter.

--- a/internal/daemon/server/handler.go
+++ b/internal/daemon/server/handler.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/adapter/peer"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
@@ -10,30 +12,87 @@
 )
 
 // handler gives the frames of other daemons to the part that they concern.
+// Until the daemon is complete it serves membership only, because daemons that
+// start at the same time need one another to join.
 type handler struct {
 	*Server
+	mu       sync.Mutex
+	complete atomic.Bool
+	// early are the sessions that opened before the egress existed.
+	early map[fleet.Session]struct{}
+}
+
+func newHandler(server *Server) *handler {
+	return &handler{Server: server, early: make(map[fleet.Session]struct{})}
+}
+
+// ready passes on the sessions opened so far and serves all frames from now on.
+func (h *handler) ready() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	for session := range h.early {
+		h.egress.Opened(session)
+	}
+
+	h.early = nil
+	h.complete.Store(true)
 }
 
 // Opened tells the egress about a session.
-func (h handler) Opened(session fleet.Session) { h.egress.Opened(session) }
+func (h *handler) Opened(session fleet.Session) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.early != nil {
+		h.early[session] = struct{}{}
+
+		return
+	}
+
+	h.egress.Opened(session)
+}
 
 // Closed tells the egress about the end of a session.
-func (h handler) Closed(session fleet.Session) { h.egress.Closed(session) }
+func (h *handler) Closed(session fleet.Session) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.early != nil {
+		delete(h.early, session)
+
+		return
+	}
+
+	h.egress.Closed(session)
+}
 
 // Run runs an attempt at a local upstream.
-func (h handler) Run(ctx context.Context, session fleet.Session, attempt fleet.Attempt) fleet.Reply {
+func (h *handler) Run(ctx context.Context, session fleet.Session, attempt fleet.Attempt) fleet.Reply {
+	if !h.complete.Load() {
+		return fleet.Refuse(fleet.ReasonNotReady, "the daemon is starting")
+	}
+
 	return h.egress.Run(ctx, session, attempt)
 }
 
 // Cancel cancels an attempt at a local upstream.
-func (h handler) Cancel(
+func (h *handler) Cancel(
 	ctx context.Context, session fleet.Session, id fleet.AttemptID, egressIncarnation uint64,
 ) fleet.CancelResult {
+	if !h.complete.Load() {
+		return fleet.CancelUnknown
+	}
+
 	return h.egress.CancelSentTo(ctx, session, id, egressIncarnation)
 }
 
 // Control answers a control frame.
-func (h handler) Control(ctx context.Context, from string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
+func (h *handler) Control(ctx context.Context, from string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
+	if !h.complete.Load() {
+		return h.membership.Handle(ctx, from, frame)
+	}
+
 	switch body := frame.GetBody().(type) {
 	case *peerpb.Frame_FetchPart:
 		return &peerpb.Frame{Body: &peerpb.Frame_Part{Part: h.loader.Handle(body.FetchPart)}}, true
--- a/internal/daemon/server/limits.go
+++ b/internal/daemon/server/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/adapter/platform"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
@@ -21,6 +22,17 @@
 	d.onClose(cleanUp)
 }
 
+// releaseTimeout is several times the life of a grant, after which a lease can
+// be released. A lease that was not released expires by itself.
+const releaseTimeout = 3 * time.Second
+
+func (d *Server) stopLimits(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+
+	d.limits.Stop(ctx)
+}
+
 // seatStore adapts the store for the seats of the limits.
 type seatStore struct {
 	client *platform.Client
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -45,6 +45,7 @@
 	metrics  *expvar.Map
 
 	network    *peer.Network
+	handler    *handler
 	store      *platform.Client
 	audit      *trail.Trail
 	membership *membership.Membership
@@ -130,6 +131,8 @@
 	d.onClose(cleanUp)
 	d.metrics.Set("Membership", d.membership.Variables())
 	d.directory = newDirectory(d.settings.AvailabilityZone, d.membership.Status)
+	d.handler = newHandler(d)
+	d.network.Start(d.membership, d.handler)
 
 	select {
 	case <-d.membership.Joined():
@@ -217,7 +220,7 @@
 	})
 	d.onClose(cleanUp)
 
-	d.network.Start(d.membership, handler{d})
+	d.handler.ready()
 	d.follow(ctx)
 
 	return nil
@@ -271,7 +274,7 @@
 		d.log.Warn("attempts were cut at the end of the stop", "attempts", running)
 	}
 
-	d.limits.Stop(ctx)
+	d.stopLimits(ctx)
 
 	if !d.membership.Leave(ctx) {
 		d.log.Warn("no peer learned of the stop")
