--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -169,12 +169,19 @@
 
 // Client runs the operators' client and returns its standard output.
 func (c *Cluster) Client(ctx context.Context, arguments ...string) (string, error) {
+	return c.ClientInput(ctx, "", arguments...)
+}
+
+// ClientInput is Client with a standard input.
+func (c *Cluster) ClientInput(ctx context.Context, input string, arguments ...string) (string, error) {
 	// The daemons' operator addresses are given through the environment, as an
 	// operator would set them once.
 	command := exec.CommandContext(ctx, filepath.Join(c.plan.Bin, "kumquatshelf"), arguments...)
 	command.Env = append(os.Environ(),
 		"KUMQUATSHELF_PLATFORM="+c.Platform.String(), "KUMQUATSHELF_DAEMONS="+strings.Join(c.operators(), ","))
 
+	command.Stdin = strings.NewReader(input)
+
 	var errorOutput strings.Builder
 
 	command.Stderr = &errorOutput
