Ask several peers at once for a version

Cause: a daemon asked its peers one after another, so that four rounds without an answer took 24 s and more, past the 17 s in which a change takes effect; and every attempt decoded all members, which list their upstreams. Change: each round asks three peers at once for the head and loads from the newest; members are decoded for a sample of 16. Progress of the operators' client has a test. Result: with no peer answering, the configuration comes from the store within 17 s in the test's time, and not in the first rounds.

--- a/cmd/kumquatshelf/main_test.go
+++ b/cmd/kumquatshelf/main_test.go
@@ -269,6 +269,20 @@
 	}
 }
 
+// Guards against progress that is missing on a terminal, or that reaches files.
+func TestProgressOnlyOnTerminal(t *testing.T) {
+	t.Parallel()
+	for _, terminal := range []bool{true, false} {
+		w := newWorld(t)
+		var out, problems bytes.Buffer
+		p := &program{stdin: strings.NewReader(""), stdout: &out, stderr: &problems, terminal: terminal}
+		code := p.main(t.Context(), []string{"publish", "--platform", w.address, "--operator", "ana", w.file("team.ini", team)})
+		if got := strings.Contains(problems.String(), "\r\x1b[Kwriting parts: 0 of 2"); code != exitOK || got != terminal || strings.Contains(out.String(), "\r") {
+			t.Errorf("got exit code %d, errors %q and output %q, want progress: %v", code, problems.String(), out.String(), terminal)
+		}
+	}
+}
+
 // Guards against a command without help.
 func TestHelp(t *testing.T) {
 	t.Parallel()
--- a/internal/daemon/configuration/loader.go
+++ b/internal/daemon/configuration/loader.go
@@ -3,11 +3,9 @@
 package configuration
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +27,8 @@
 	// peersPerRound is how many peers are asked in one attempt.
 	peersPerRound = 3
 	// roundsBeforeStore is how many attempts a daemon that is no relay makes
-	// with its peers before it reads the store itself.
+	// with its peers before it reads the store itself. Where no peer answers,
+	// four rounds of callTimeout leave seven of the target's 17 s.
 	roundsBeforeStore = 4
 	// callTimeout bounds one call to a peer.
 	callTimeout = 2 * time.Second
@@ -177,64 +176,36 @@
 	}
 }
 
-// follow brings the configuration up to the head that the fleet knows. It
-// returns false if another attempt is needed.
+// follow brings the configuration up to the head that the fleet knows, or to
+// the newest of several peers if there is none yet. It returns false if another
+// attempt is needed.
 func (l *Loader) follow(ctx context.Context, round int, random *rand.Rand) bool {
-	current := l.snapshot.Load()
-	if current == nil {
-		return l.newest(ctx, random) || l.load(ctx, publication.FromStore(l.store, nil)) && l.snapshot.Load() != nil
-	}
 	head := l.head()
-	if head.GetVersion() <= current.Version() {
+	installed := func() bool {
+		current := l.snapshot.Load()
+
+		return current != nil && current.Version() >= head.GetVersion()
+	}
+	if installed() {
 		return true
 	}
-	for _, daemon := range l.candidates(head.GetVersion(), random) {
-		source := peerSource{peers: l.Peers, daemon: daemon}
-		if round == 0 {
-			// A peer without this version answers in a few bytes.
-			source.head = head.GetManifestHash()
-		}
+	starting := l.snapshot.Load() == nil
+	hash := ""
+	if round == 0 && !starting {
+		// A peer without this version answers in a few bytes.
+		hash = head.GetManifestHash()
+	}
+	for _, source := range l.ask(ctx, l.candidates(head.GetVersion(), random), hash) {
 		l.load(ctx, source)
-		if l.snapshot.Load().Version() >= head.GetVersion() {
-			return true
+		if installed() || starting && l.snapshot.Load() != nil {
+			return installed()
 		}
 	}
-	if round >= roundsBeforeStore {
+	if starting || round >= roundsBeforeStore {
 		l.load(ctx, publication.FromStore(l.store, nil))
 	}
 
-	return l.snapshot.Load().Version() >= head.GetVersion()
-}
-
-// newest asks several peers for their versions and installs the newest that
-// one of them can provide.
-func (l *Loader) newest(ctx context.Context, random *rand.Rand) bool {
-	type answer struct {
-		source  peerSource
-		version uint64
-	}
-	answers := make(chan answer, peersPerRound)
-	candidates := l.candidates(l.head().GetVersion(), random)
-	for _, daemon := range candidates {
-		go func() {
-			source := peerSource{peers: l.Peers, daemon: daemon}
-			raw, _ := source.Head(ctx)
-			version, _ := publication.HeadVersion(raw)
-			answers <- answer{source, version}
-		}()
-	}
-	received := make([]answer, len(candidates))
-	for i := range received {
-		received[i] = <-answers
-	}
-	slices.SortStableFunc(received, func(a, b answer) int { return cmp.Compare(b.version, a.version) })
-	for _, a := range received {
-		if a.version > 0 && l.load(ctx, a.source) && l.snapshot.Load() != nil {
-			return true
-		}
-	}
-
-	return false
+	return installed()
 }
 
 // load installs what a source has, if it is newer. It returns false if another
--- a/internal/daemon/configuration/loader_test.go
+++ b/internal/daemon/configuration/loader_test.go
@@ -95,6 +95,21 @@
 			f.settle(effect)
 			f.expect(t, "after the outage", 1, "e")
 		},
+		"no peer answers": func(t *testing.T, f *testFleet) {
+			before := f.daemons["c"].loader.LastContact()
+			f.publish(t, 2)
+			for _, name := range []string{"a", "b", "d"} {
+				f.daemons[name].setCut(true)
+			}
+			f.settle(time.Second)
+			f.daemons["c"].merge(fleet.Entry{Kind: fleet.KindHead, Key: headKey, Version: 2, Value: marshal(&peerpb.Head{Version: 2, ManifestHash: "x"})})
+			f.settle(2 * callTimeout)
+			if got := f.daemons["c"].loader.LastContact(); got != before {
+				t.Errorf("got contact with the store at %v before peers were asked, want none after %v", got, before)
+			}
+			f.settle(effect - 2*callTimeout)
+			f.expect(t, "from the store", 2, "c")
+		},
 		"a peer that lies about the head": func(t *testing.T, f *testFleet) {
 			f.daemons["c"].merge(fleet.Entry{Kind: fleet.KindHead, Key: headKey, Version: 9, Value: marshal(&peerpb.Head{Version: 9, ManifestHash: "x"})})
 			f.settle(effect)
--- a/internal/daemon/configuration/peers.go
+++ b/internal/daemon/configuration/peers.go
@@ -1,10 +1,11 @@
 package configuration
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,22 +14,19 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
+// sampledMembers is how many members are considered in one attempt.
+const sampledMembers = 16
+
 // peerSource is another daemon as a source of the configuration.
 type peerSource struct {
 	peers  Peers
 	daemon string
-	// head is the hash of the manifest's head to ask for; empty asks for any.
-	head string
+	// head and version are those that the daemon answered with.
+	head    []byte
+	version uint64
 }
 
-func (s peerSource) Head(ctx context.Context) ([]byte, bool) {
-	raw, ok := s.Part(ctx, s.head)
-	if ok && s.head != "" && publication.Hash(raw) != s.head {
-		return nil, false
-	}
-
-	return raw, ok
-}
+func (s peerSource) Head(context.Context) ([]byte, bool) { return s.head, true }
 
 func (s peerSource) Part(ctx context.Context, hash string) ([]byte, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -40,25 +38,49 @@
 	return part.GetValue(), ok && part.GetFound()
 }
 
+// ask asks daemons for the head with a hash, or for any head if hash is empty.
+// It returns those that have one, the newest first.
+func (l *Loader) ask(ctx context.Context, daemons []string, hash string) []peerSource {
+	answers := make([]peerSource, len(daemons))
+	var calls sync.WaitGroup
+	for i, daemon := range daemons {
+		calls.Go(func() {
+			source := peerSource{peers: l.Peers, daemon: daemon}
+			raw, ok := source.Part(ctx, hash)
+			if ok {
+				source.head = raw
+				source.version, _ = publication.HeadVersion(raw)
+			}
+			answers[i] = source
+		})
+	}
+	calls.Wait()
+	answers = slices.DeleteFunc(answers, func(s peerSource) bool { return s.version == 0 })
+	slices.SortStableFunc(answers, func(a, b peerSource) int { return cmp.Compare(b.version, a.version) })
+
+	return answers
+}
+
 // candidates returns a few members to ask, with those that run at least the
 // wanted version first.
 func (l *Loader) candidates(want uint64, random *rand.Rand) []string {
-	var members []*peerpb.Member
+	var entries []fleet.Entry
 	l.Entries.Range(fleet.KindMember, func(entry fleet.Entry) {
-		var member peerpb.Member
-		if proto.Unmarshal(entry.Value, &member) == nil && entry.Key != l.Name && !member.GetLeaving() {
-			member.Name = entry.Key
-			members = append(members, &member)
+		if entry.Key != l.Name {
+			entries = append(entries, entry)
 		}
 	})
-	slices.SortFunc(members, func(a, b *peerpb.Member) int { return strings.Compare(a.GetName(), b.GetName()) })
-	random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	random.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 	var names, others []string
-	for _, member := range members {
-		if member.GetConfigurationVersion() >= max(want, 1) {
-			names = append(names, member.GetName())
-		} else {
-			others = append(others, member.GetName())
+	// Members are decoded for a sample only, since each lists its upstreams.
+	for _, entry := range entries[:min(len(entries), sampledMembers)] {
+		var member peerpb.Member
+		switch {
+		case proto.Unmarshal(entry.Value, &member) != nil || member.GetLeaving():
+		case member.GetConfigurationVersion() >= max(want, 1):
+			names = append(names, entry.Key)
+		default:
+			others = append(others, entry.Key)
 		}
 	}
 	names = append(names, others...)
@@ -71,7 +93,7 @@
 	head := &peerpb.Head{}
 	l.Entries.Range(fleet.KindHead, func(entry fleet.Entry) {
 		var value peerpb.Head
-		if entry.Key == headKey && proto.Unmarshal(entry.Value, &value) == nil && value.GetVersion() == entry.Version {
+		if entry.Key == headKey && proto.Unmarshal(entry.Value, &value) == nil {
 			head = &value
 		}
 	})
