Test versions over generated histories of faults

Cause: pause and resume with an old answer was covered by one case only. Change: a property over sequences of publications, partitions, pauses, restarts, outages and a slow store; a resumed daemon receives the store's old answers after it heard newer versions from peers. With an older version accepted by the loader, TestVersionsOnlyRise failed.

--- a/internal/daemon/configuration/fleet_test.go
+++ b/internal/daemon/configuration/fleet_test.go
@@ -33,6 +33,10 @@
 	os.Exit(m.Run())
 }
 
+// storeLate lets a resumed daemon hear newer versions from its peers before an
+// old answer of the store arrives.
+const storeLate = 3 * time.Second
+
 // daemon is one loader with its copy of the replicated set.
 type daemon struct {
 	fleet *testFleet
@@ -41,6 +45,7 @@
 
 	mu          sync.Mutex
 	cut         bool // from the store and from peers
+	paused      bool // answers reach it only after it resumed
 	refuse      int  // next reads of parts that fail
 	refusePuts  int  // next writes that fail
 	entries     map[string]fleet.Entry
@@ -54,6 +59,7 @@
 	store   *platform.Store
 	mu      sync.Mutex
 	daemons map[string]*daemon
+	retired []*daemon // stopped by a restart
 	count   uint64
 }
 
@@ -123,6 +129,28 @@
 	return d.cut
 }
 
+// hold delays an answer while the daemon is paused, and further by late.
+func (d *daemon) hold(late time.Duration) {
+	for held := false; ; held = true {
+		d.mu.Lock()
+		paused := d.paused
+		d.mu.Unlock()
+		if !paused && held {
+			time.Sleep(late)
+		}
+		if !paused {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (d *daemon) setPaused(paused bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paused, d.cut = paused, paused
+}
+
 func (d *daemon) setCut(cut bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -210,7 +238,11 @@
 		return nil, false
 	}
 
-	return &peerpb.Frame{Body: &peerpb.Frame_Part{Part: loader.Handle(frame.GetFetchPart())}}, true
+	part := loader.Handle(frame.GetFetchPart())
+	time.Sleep(time.Millisecond)
+	d.hold(0)
+
+	return &peerpb.Frame{Body: &peerpb.Frame_Part{Part: part}}, true
 }
 
 // cutStore is the store as a daemon reaches it.
@@ -228,7 +260,10 @@
 		return fleet.Object{}, fleet.StoreUnavailable
 	}
 
-	return s.Store.Get(ctx, kind, name)
+	object, outcome := s.Store.Get(ctx, kind, name)
+	s.daemon.hold(storeLate)
+
+	return object, outcome
 }
 
 func (s cutStore) Put(ctx context.Context, object fleet.Object, condition fleet.Condition) fleet.StoreOutcome {
@@ -248,9 +283,13 @@
 		return nil, fleet.StoreUnavailable
 	}
 	objects, outcome := s.Store.Watch(ctx, kind, since)
-	if s.daemon.isCut() {
+	s.daemon.mu.Lock()
+	cut := s.daemon.cut && !s.daemon.paused
+	s.daemon.mu.Unlock()
+	if cut {
 		return nil, fleet.StoreUnavailable
 	}
+	s.daemon.hold(storeLate)
 
 	return objects, outcome
 }
--- a/internal/daemon/configuration/loader_test.go
+++ b/internal/daemon/configuration/loader_test.go
@@ -1,10 +1,16 @@
 package configuration
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/standin/platform"
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
@@ -139,3 +145,91 @@
 		})
 	}
 }
+
+type fleetStep struct {
+	Action string
+	Daemon int
+	Wait   time.Duration
+}
+
+func (f *testFleet) step(t *testing.T, step fleetStep, published int) int {
+	t.Helper()
+	name := []string{"a", "b", "c", "d"}[step.Daemon]
+	switch step.Action {
+	case "publish":
+		f.store.SetFaults(platform.Faults{})
+		published++
+		f.publish(t, published)
+	case "cut":
+		f.daemons[name].setCut(true)
+	case "pause":
+		f.daemons[name].setPaused(true)
+	case "resume":
+		f.daemons[name].setPaused(false)
+	case "restart":
+		old := f.daemons[name]
+		old.setPaused(false)
+		old.stop()
+		f.mu.Lock()
+		f.retired = append(f.retired, old)
+		delete(f.daemons, name)
+		f.mu.Unlock()
+		f.start(name, step.Daemon < 2)
+	case "outage":
+		f.store.SetFaults(platform.Faults{Outage: true})
+	case "slow":
+		f.store.SetFaults(platform.Faults{Latency: 3 * time.Second})
+	case "well":
+		f.store.SetFaults(platform.Faults{})
+	}
+	f.settle(step.Wait)
+
+	return published
+}
+
+// Guards against versions that fall, and against a version that some daemon
+// never installs (R11), after any sequence of faults.
+func TestVersionsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fleetStep {
+			return fleetStep{
+				Action: rapid.SampledFrom([]string{"publish", "publish", "cut", "pause", "pause", "resume", "restart", "outage", "slow", "well"}).Draw(t, "action"),
+				Daemon: rapid.IntRange(0, 3).Draw(t, "daemon"),
+				Wait:   time.Duration(rapid.IntRange(0, 6).Draw(t, "wait")) * time.Second,
+			}
+		}), 1, 15).Draw(rt, "steps")
+		var problems []string
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet()
+			defer f.end()
+			for i, name := range []string{"a", "b", "c", "d"} {
+				f.start(name, i < 2)
+			}
+			f.publish(t, 1)
+			f.settle(effect)
+			published := 1
+			for _, step := range steps {
+				published = f.step(t, step, published)
+			}
+			f.store.SetFaults(platform.Faults{})
+			for _, d := range f.daemons {
+				d.setPaused(false)
+			}
+			f.settle(effect)
+			all := slices.Collect(maps.Values(f.daemons))
+			for _, d := range all {
+				if got := d.version(); got != uint64(published) {
+					problems = append(problems, fmt.Sprintf("got version %d on %s, want %d", got, d.name, published))
+				}
+			}
+			for _, d := range append(all, f.retired...) {
+				if !slices.IsSorted(d.versions) || len(slices.Compact(slices.Clone(d.versions))) != len(d.versions) {
+					problems = append(problems, fmt.Sprintf("got versions %v on %s, want them to rise", d.versions, d.name))
+				}
+			}
+		})
+		if len(problems) > 0 {
+			rt.Fatalf("got problems:\n%s", strings.Join(problems, "\n"))
+		}
+	})
+}
