Send rumors to as many peers as the fanout allows

Cause: TestChangesReachAll failed in 2 of 15 runs with the race detector: random draws that repeat left a rumor with three of five peers. Change: Peers fills up from the shuffled rings after the random draws. TestPeers fails when the draws are left out, and when the own zone's share is 10%.

--- a/internal/core/gossip/gossip_test.go
+++ b/internal/core/gossip/gossip_test.go
@@ -281,3 +281,29 @@
 		t.Errorf("got %v, want the second of %v first and another after it", after, before["zone-00"])
 	}
 }
+
+// Guards against rumors that go to fewer peers than there are, and against
+// zones that are never chosen.
+func TestPeers(t *testing.T) {
+	f := bench.NewFleet(30, 3, 0, 1)
+	zones := map[string]int{}
+	f.With(0, func(node *gossip.Node) {
+		for range 1000 {
+			peers := node.Peers(gossip.Fanout, f.Name(1), f.Name(3))
+			seen := map[string]bool{f.Name(0): true, f.Name(1): true, f.Name(3): true}
+			for _, name := range peers {
+				if seen[name] {
+					t.Fatalf("got %v, want different peers that are not excluded", peers)
+				}
+				seen[name] = true
+				zones[node.Zone(name)]++
+			}
+			if len(peers) != gossip.Fanout {
+				t.Fatalf("got %v, want %d peers", peers, gossip.Fanout)
+			}
+		}
+	})
+	if zones["zone-00"] < zones["zone-01"] || zones["zone-01"] == 0 || zones["zone-02"] == 0 {
+		t.Errorf("got %v, want the own zone most often and every zone", zones)
+	}
+}
--- a/internal/core/gossip/peers.go
+++ b/internal/core/gossip/peers.go
@@ -88,13 +88,23 @@
 func (n *Node) Peers(count int, exclude ...string) []string {
 	n.rings()
 	peers := make([]string, 0, count)
+	add := func(name string) {
+		if len(peers) < count && !slices.Contains(peers, name) && !slices.Contains(exclude, name) {
+			peers = append(peers, name)
+		}
+	}
 	for range 4 * count {
-		if len(peers) == count {
-			break
+		if name, ok := n.pick(); ok {
+			add(name)
 		}
-		name, ok := n.pick()
-		if ok && !slices.Contains(peers, name) && !slices.Contains(exclude, name) {
-			peers = append(peers, name)
+	}
+	// In a small fleet the draws may repeat; the rings are shuffled.
+	for _, names := range [][]string{n.other.names, n.own.names} {
+		for _, name := range names {
+			if len(peers) == count {
+				return peers
+			}
+			add(name)
 		}
 	}
 
