Serve streams on goroutines that are used again

Cause: in the profile of BenchmarkRun, 14% of the processor time was the growth of the stack of each stream's new goroutine. Change: up to 256 idle goroutines wait for the next stream.

--- a/internal/adapter/peer/network.go
+++ b/internal/adapter/peer/network.go
@@ -93,6 +93,7 @@
 	stopped  chan struct{}
 	sequence atomic.Uint64
 	running  sync.WaitGroup
+	workers  *workers
 
 	directory Directory
 	handler   Handler
@@ -125,6 +126,7 @@
 		timing:   timing,
 		identity: identity,
 		stopped:  make(chan struct{}),
+		workers:  newWorkers(),
 		links:    map[string]*link{},
 		accepted: map[acceptedKey]*accepted{},
 	}
@@ -204,6 +206,7 @@
 	}
 	n.closeSessions()
 	n.running.Wait()
+	close(n.workers.stop)
 }
 
 func (n *Network) serving() bool {
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -91,7 +91,7 @@
 			return
 		}
 		a.begin()
-		go n.serveStream(a, stream)
+		n.workers.run(func() { n.serveStream(a, stream) })
 	}
 }
 
@@ -169,7 +169,7 @@
 	_ = stream.SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go watch(stream, cancel)
+	n.workers.run(func() { watch(stream, cancel) })
 	switch body := frame.Body.(type) {
 	case *peerpb.Frame_Attempt:
 		n.serveAttempt(ctx, a, stream, body.Attempt)
