--- a/internal/adapter/peer/network.go
+++ b/internal/adapter/peer/network.go
@@ -95,6 +95,7 @@
 	stopped  chan struct{}
 	sequence atomic.Uint64
 	running  sync.WaitGroup
+	workers  *workers
 
 	directory Directory
 	handler   Handler
@@ -127,6 +128,7 @@
 		timing:   timing,
 		identity: identity,
 		stopped:  make(chan struct{}),
+		workers:  newWorkers(),
 		links:    map[string]*link{},
 		accepted: map[acceptedKey]*accepted{},
 	}
@@ -206,6 +208,7 @@
 	}
 	n.closeSessions()
 	n.running.Wait()
+	close(n.workers.stop)
 }
 
 func (n *Network) serving() bool {
