Grant a service half the failure rate

A failure weighs log(0.02/p0) against the successes between two failures, and p0 of 0.001 leaves little of it.

Change: the failure rate that every service is granted is 0.0005. The measured rate of the service counts as before where it is higher.

--- a/internal/core/health/detector.go
+++ b/internal/core/health/detector.go
@@ -9,7 +9,7 @@
 const (
 	// minFailureRate is the failure rate that every service is granted. Below
 	// it, single failures of an idle service would look like strong evidence.
-	minFailureRate = 0.001
+	minFailureRate = 0.0005
 	// maxFailureRate keeps the likelihoods finite.
 	maxFailureRate = 0.999
 	// latencyShift is the shift of log latency that the latency test looks for.
