Bound the latency evidence of an interval in thresholds

Cause: the bound of 2 nats per interval made detection of slow upstreams wait for threshold/2 intervals (2.3 s at 16), while at low thresholds two intervals, the reach of one pause, were enough to eject.

Change: an interval gives at most a third of the threshold, so that a slow upstream takes three intervals at any threshold.

--- a/internal/core/health/detector.go
+++ b/internal/core/health/detector.go
@@ -19,9 +19,10 @@
 	// maxLatencyExcess bounds the excess of an interval's mean log latency, so
 	// that a few very slow requests do not outweigh hundreds of normal ones.
 	maxLatencyExcess = 2.3
-	// maxLatencyStep bounds the latency evidence of one interval, in nats.
-	// Requests of one interval share their pauses and are not independent.
-	maxLatencyStep = 2.0
+	// maxLatencyStep bounds the latency evidence of one interval, in thresholds.
+	// Requests of one interval share their pauses and are not independent; a
+	// pause of a healthy upstream reaches into two intervals.
+	maxLatencyStep = 1.0 / 3
 	// minVariance and priorVariance are of log latency within a route.
 	minVariance   = 0.04
 	priorVariance = 0.25
@@ -173,7 +174,7 @@
 		for _, counts := range s.pending {
 			s.requests += counts.Requests
 			s.addFailures(counts, p0, scoreCap*threshold)
-			s.addLatency(counts, latency, scoreCap*threshold)
+			s.addLatency(counts, latency, threshold)
 		}
 		s.pending = nil
 	}
@@ -331,7 +332,7 @@
 	}
 }
 
-func (s *suspicion) addLatency(counts Counts, baselines map[uint32]baseline, limit float64) {
+func (s *suspicion) addLatency(counts Counts, baselines map[uint32]baseline, threshold float64) {
 	step := 0.0
 	for _, r := range counts.Routes {
 		b, ok := baselines[r.Route]
@@ -342,8 +343,9 @@
 		s.excess.add(float64(r.Count), float64(r.Count)*excess, 0)
 		step += float64(r.Count) * latencyShift / b.variance * (excess - latencyShift/2)
 	}
-	step = min(max(step, -maxLatencyStep), maxLatencyStep)
-	s.latency = min(max(s.latency+step, 0), limit)
+	most := maxLatencyStep * threshold
+	step = min(max(step, -most), most)
+	s.latency = min(max(s.latency+step, 0), scoreCap*threshold)
 	if s.latency == 0 {
 		s.excess = window{}
 	}
