Refuse unknown keys as not ready before any key was learned

Cause: a daemon that starts refused valid keys with 401 until its first exchange, which tells callers to give up.

--- a/internal/core/keys/freshness.go
+++ b/internal/core/keys/freshness.go
@@ -18,6 +18,12 @@
 	KnowsOtherZones bool
 }
 
+// Informed reports whether a daemon with such contact has learned of any keys.
+// Before that, an unknown key may be valid.
+func (c Contact) Informed() bool {
+	return !c.Store.IsZero() || !c.Peer.IsZero()
+}
+
 // Fresh reports whether a daemon with such contact may accept keys at now.
 // A peer in the same availability zone does not count while others are known,
 // because both may be cut off from the place where a key is withdrawn.
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -212,7 +212,8 @@
 		return fleet.ClientAccount{}, fleet.Refuse(fleet.ReasonNoKey, "the route needs a key")
 	}
 
-	if !keys.Fresh(time.Now(), in.Contacts.Contact()) {
+	contact := in.Contacts.Contact()
+	if !keys.Fresh(time.Now(), contact) {
 		refusal := fleet.Refuse(fleet.ReasonIsolated, "the daemon cannot learn of withdrawn keys")
 		refusal.RetryAfter = time.Second
 
@@ -222,6 +223,10 @@
 	name, status := in.Keys.Check(keys.HashOf(key))
 	account, known := configuration.ClientAccounts[name]
 
+	if status == keys.Absent && !contact.Informed() {
+		return fleet.ClientAccount{}, fleet.Refuse(fleet.ReasonNotReady, "the daemon has not learned of any keys yet")
+	}
+
 	if status != keys.Given || !known {
 		return fleet.ClientAccount{}, fleet.Refuse(fleet.ReasonBadKey, "the key is not valid")
 	}
