--- a/internal/daemon/membership/membership_test.go
+++ b/internal/daemon/membership/membership_test.go
@@ -273,7 +273,7 @@
 	return fleet.Refuse(fleet.ReasonStopping, "")
 }
 
-func (handler) Cancel(context.Context, fleet.Session, fleet.AttemptID) fleet.CancelResult {
+func (handler) Cancel(context.Context, fleet.Session, fleet.AttemptID, uint64) fleet.CancelResult {
 	return fleet.CancelUnknown
 }
 
