Run stand-in upstreams in the demo

Cause: the demo needs upstreams whose behaviour can be changed while it runs. Change: standin upstreams, modes and records through the cluster package.

--- a/internal/standin/demo/stages.go
+++ b/internal/standin/demo/stages.go
@@ -5,14 +5,16 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/adapter/operator"
-	"github.com/kumquatshelf/kumquatshelf/internal/standin/cluster"
 	"github.com/kumquatshelf/kumquatshelf/internal/standin/load"
+	"github.com/kumquatshelf/kumquatshelf/internal/standin/upstream"
 )
 
 func (d *demo) stages() []stage {
@@ -31,7 +33,7 @@
 	d.gray = owner.Name + "-Calendar"
 	d.grayAt = time.Now()
 
-	if err := owner.SetMode(ctx, "Calendar", `{"SlowFactor": 10}`); err != nil {
+	if err := owner.SetMode(ctx, "Calendar", upstream.Mode{SlowFactor: 10}); err != nil {
 		return fmt.Errorf("set the mode: %w", err)
 	}
 
@@ -82,12 +84,11 @@
 
 func (d *demo) outage(away bool) func(context.Context) error {
 	return func(ctx context.Context) error {
-		answer, err := cluster.Request(ctx, http.MethodPut, "http://"+d.cluster.Platform.String()+"/Faults", fmt.Sprintf(`{"Outage": %v}`, away))
-		if err != nil {
+		if err := d.cluster.SetFaults(ctx, fmt.Sprintf(`{"Outage": %v}`, away)); err != nil {
 			return fmt.Errorf("switch the outage: %w", err)
 		}
 
-		return errors.Join(answer.Body.Close())
+		return nil
 	}
 }
 
@@ -104,7 +105,7 @@
 
 // report prints the table and judges it.
 func (d *demo) report(ctx context.Context, results []load.Result) error {
-	ran, leaks, err := d.records(ctx)
+	ran, leaks, err := d.cluster.Records(ctx, slices.Collect(maps.Values(d.keys)))
 	if err != nil {
 		return err
 	}
--- a/internal/standin/load/caller.go
+++ b/internal/standin/load/caller.go
@@ -5,10 +5,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/hex"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -16,6 +14,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Headers that stand-in callers and upstreams agree on.
@@ -227,10 +227,7 @@
 	return nil
 }
 
-// Checksum returns the value of the checksum header for a body.
+// Checksum returns the value of the checksum header for a body, its xxHash.
 func Checksum(body []byte) string {
-	sum := crc32.NewIEEE()
-	_, _ = sum.Write(body)
-
-	return hex.EncodeToString(sum.Sum(nil))
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
 }
