Test the planned stop and the batching of writes

Cause: nothing tested that a stop finishes answers in progress, that bytes pending at the close of a session arrive, or that a writer does not run ahead of a peer that does not read. Change: two tests; the function that New returns and stop are now the same and may be called again.

--- a/internal/adapter/peer/network.go
+++ b/internal/adapter/peer/network.go
@@ -90,6 +90,7 @@
 	timing   Timing
 	counters counters
 	started  atomic.Bool
+	stopOnce sync.Once
 	stopped  chan struct{}
 	sequence atomic.Uint64
 	running  sync.WaitGroup
@@ -131,7 +132,7 @@
 		accepted: map[acceptedKey]*accepted{},
 	}
 
-	return n, sync.OnceFunc(n.stop)
+	return n, n.stop
 }
 
 // Start begins to accept sessions. The directory and the handler may depend on
@@ -198,6 +199,12 @@
 }
 
 func (n *Network) stop() {
+	n.stopOnce.Do(n.stopNow)
+}
+
+// stopNow accepts no more sessions, waits for the answers in progress and closes
+// everything.
+func (n *Network) stopNow() {
 	close(n.stopped)
 	_ = n.listener.Close()
 	deadline := time.Now().Add(n.timing.Stop)
--- a/internal/adapter/peer/peer_test.go
+++ b/internal/adapter/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -491,3 +492,77 @@
 		}
 	})
 }
+
+// Guards against a planned stop that cuts off an answer in progress (R10), and
+// against more streams at once than the accept backlog holds.
+func TestStopFinishesAnswers(t *testing.T) {
+	const requests, size = 4 * acceptBacklog, 64 << 10
+	release := make(chan struct{})
+	var running sync.WaitGroup
+	running.Add(requests)
+	timing := testTiming()
+	timing.Stop = time.Minute // the race detector slows the answers down
+	timing.KeepAlive = time.Minute
+	client, server, _ := newPair(t, nil, timing, func(ctx context.Context, a fleet.Attempt) fleet.Reply {
+		running.Done()
+		<-release
+
+		return answerWith(bytes.NewReader(make([]byte, size)), "")(ctx, a)
+	})
+	var done sync.WaitGroup
+	for range requests {
+		done.Go(func() {
+			reply := client.Run(t.Context(), "B", fleet.Attempt{})
+			if reply.Outcome != fleet.Ran {
+				t.Errorf("got %v %s, want Ran", reply.Outcome, reply.Detail)
+
+				return
+			}
+			if n, err := io.Copy(io.Discard, reply.Answer.Body); n != size || err != nil {
+				t.Errorf("got %d bytes and %v, want %d", n, err, size)
+			}
+		})
+	}
+	running.Wait()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		server.stop()
+	}()
+	close(release)
+	done.Wait()
+	<-stopped
+}
+
+// Guards against bytes that are lost when a session closes, and against writers
+// that wait for ever for a peer that does not read.
+func TestBatchConn(t *testing.T) {
+	near, far := net.Pipe()
+	c := newBatchConn(near, bufio.NewReader(near))
+	received := make(chan []byte)
+	go func() {
+		time.Sleep(10 * time.Millisecond) // all pieces are pending by then
+		all, _ := io.ReadAll(far)
+		received <- all
+	}()
+	for i := range 100 {
+		_, _ = c.Write([]byte{byte(i), byte(i)})
+	}
+	_ = c.Close()
+	if got := <-received; len(got) != 200 || got[199] != 99 {
+		t.Errorf("got %d bytes, want 200", len(got))
+	}
+	near, _ = net.Pipe()
+	c = newBatchConn(near, bufio.NewReader(near))
+	time.AfterFunc(10*time.Millisecond, func() { _ = c.Close() })
+	written := 0
+	for {
+		n, err := c.Write(make([]byte, 1<<10))
+		if err != nil {
+			break
+		}
+		if written += n; written > 2*maxPendingBytes+1<<10 {
+			t.Fatalf("got %d bytes accepted, want at most two full buffers", written)
+		}
+	}
+}
