--- a/internal/adapter/peer/network.go
+++ b/internal/adapter/peer/network.go
@@ -92,6 +92,7 @@
 	timing   Timing
 	counters counters
 	started  atomic.Bool
+	stopOnce sync.Once
 	stopped  chan struct{}
 	sequence atomic.Uint64
 	running  sync.WaitGroup
@@ -133,7 +134,7 @@
 		accepted: map[acceptedKey]*accepted{},
 	}
 
-	return n, sync.OnceFunc(n.stop)
+	return n, n.stop
 }
 
 // Start begins to accept sessions. The directory and the handler may depend on
@@ -200,6 +201,12 @@
 }
 
 func (n *Network) stop() {
+	n.stopOnce.Do(n.stopNow)
+}
+
+// stopNow accepts no more sessions, waits for the answers in progress and closes
+// everything.
+func (n *Network) stopNow() {
 	close(n.stopped)
 	_ = n.listener.Close()
 	deadline := time.Now().Add(n.timing.Stop)
@@ -252,8 +259,9 @@
 }
 
 // acceptBacklog bounds the streams that a session has opened and that the
-// other side has not taken up yet.
-const acceptBacklog = 1024
+// other side has not taken up yet. 256 for each round trip of 0.5 ms are more
+// than one session carries; yamux reserves 8 bytes for each at both ends.
+const acceptBacklog = 256
 
 var muxLogger = log.New(io.Discard, "", 0)
 
