--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/adapter/caller"
@@ -192,6 +193,17 @@
 	d.onClose(cleanUp)
 	d.directory.decisions = d.arbiter.State
 
+	losses := d.arbiter.Losses()
+	counters := new(expvar.Map).Init()
+	d.metrics.Set("Arbiter", counters)
+
+	for name, counter := range map[string]*atomic.Int64{
+		"ObservationsDropped": &losses.Observations, "ReportsDropped": &losses.Reports, "FramesDropped": &losses.Frames,
+		"FramesMalformed": &losses.Malformed, "AuditRecordsDropped": &losses.Audits,
+	} {
+		counters.Set(name, expvar.Func(func() any { return counter.Load() }))
+	}
+
 	return nil
 }
 
