Announce configuration versions rarely in large fleets

Cause: each daemon's member entry carries the version it runs. Alternatives ruled out: a small entry of its own for the version costs each member about 700 bytes for each of the 3,500 changes, which does not fit either. Change: the greatest delay is 3 ms times the square of the number of members. Result: by calculation 3 s at 32 members, and about 460 bytes a second at 3,500. TestVersionDelay fails with a delay that is only proportional to the members.

--- a/internal/daemon/membership/loops.go
+++ b/internal/daemon/membership/loops.go
@@ -29,12 +29,18 @@
 	// no multiple of a usual number of seeds, so that all have their turn.
 	seedPeriods  = 61
 	tickInterval = 250 * time.Millisecond
-	// versionDelay is the greatest delay for each member before a changed
-	// configuration version is announced alone, so that the fleet makes at
-	// most about 50 such announcements a second.
-	versionDelay = 20 * time.Millisecond
+	// versionDelay times the square of the number of members is the greatest
+	// delay before a changed configuration version is announced alone: 3 s at 32
+	// members. An announcement costs each member about 2.4 KB with 43 upstreams,
+	// so at 3,500 members, with a new version every 13 s, a short delay would
+	// exceed the budget of 3 KB a second many times.
+	versionDelay = 3 * time.Millisecond
 )
 
+func maxVersionDelay(members int) time.Duration {
+	return time.Duration(members*members) * versionDelay
+}
+
 func wake(channel chan struct{}) {
 	select {
 	case channel <- struct{}{}:
@@ -252,7 +258,7 @@
 		}
 		members := 0
 		m.replica.With(func(node *gossip.Node, _ time.Time) { members = node.Members() })
-		if !pause(m.ctx, time.Duration(m.random.Int64N(int64(members)*int64(versionDelay)+1))) {
+		if !pause(m.ctx, time.Duration(m.random.Int64N(int64(maxVersionDelay(members))+1))) {
 			return
 		}
 		m.update(func(*peerpb.Member) {})
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -170,7 +170,8 @@
 
 // SetConfigurationVersion tells the fleet which configuration the daemon runs.
 // It is announced with the next other change of the entry, or alone after a
-// delay that grows with the fleet.
+// random delay of up to 3 s at 32 members and 10 hours at 3,500: in large fleets
+// whoever needs the versions asks the daemons.
 func (m *Membership) SetConfigurationVersion(version uint64) {
 	m.ownMu.Lock()
 	changed := m.own.ConfigurationVersion != version
--- a/internal/daemon/membership/membership_test.go
+++ b/internal/daemon/membership/membership_test.go
@@ -324,3 +324,16 @@
 	}
 	t.Error("the key did not reach all members")
 }
+
+// Guards against configuration versions that take seconds to be known in a small
+// fleet, or the budget of 3 KB a second in a large one (1.3).
+func TestVersionDelay(t *testing.T) {
+	if got := maxVersionDelay(32); got > 17*time.Second {
+		t.Errorf("got %v at 32 members, want at most 17 s", got)
+	}
+	const members, announcementBytes = 3500, 2400
+	mean := maxVersionDelay(members).Seconds() / 2
+	if got := members / mean * announcementBytes; got > 1000 {
+		t.Errorf("got %.0f bytes a second at %d members, want at most a third of 3 KB", got, members)
+	}
+}
