Leave out the client account that fails everywhere

Change: the account with the most failures among those that fail at more than half of the upstreams is left out of the baseline and of the evidence. The case is part of the table. The baselines of the tests move to their own file.

Without the change TestCases fails on the new case in both deployments.

--- a/internal/bench/health/faults.go
+++ b/internal/bench/health/faults.go
@@ -105,6 +105,7 @@
 			return since%(10*time.Second) >= 5*time.Second
 		}},
 		{name: "half of the service gray", gray: -1, change: truncated(0.5)},
+		{name: "10% of answers cut, client account's 5xx", gray: 1, change: truncated(0.1), badStatus: 500},
 		{name: "lying load endpoint, slow 3×", gray: 1, change: func(c *condition, _ time.Duration) {
 			c.slow, c.lying = 3, true
 		}},
--- a/internal/core/health/detector.go
+++ b/internal/core/health/detector.go
@@ -7,11 +7,6 @@
 )
 
 const (
-	// minFailureRate is the failure rate that every service is granted. Below
-	// it, single failures of an idle service would look like strong evidence.
-	minFailureRate = 0.0005
-	// maxFailureRate keeps the likelihoods finite.
-	maxFailureRate = 0.999
 	// latencyShift is the shift of log latency that the latency test looks for.
 	// Its drift turns positive at half the shift, a factor of 1.8, above the
 	// usual spread between instances.
@@ -23,20 +18,9 @@
 	// Requests of one interval share their pauses and are not independent; a
 	// pause of a healthy upstream reaches into two intervals.
 	maxLatencyStep = 1.0 / 3
-	// minVariance and priorVariance are of log latency within a route.
-	minVariance   = 0.04
-	priorVariance = 0.25
-	// varianceSamples is how many samples replace the prior.
-	varianceSamples = 50
 	// scoreCap bounds accumulated evidence, in thresholds, so that an upstream
 	// that the floor kept in service is cleared soon after it recovers.
 	scoreCap = 3
-	// fastHalfLife follows service-wide changes; slowHalfLife gives rare
-	// requests a baseline.
-	fastHalfLife = 500 * time.Millisecond
-	slowHalfLife = 5 * time.Second
-	// minBaselineRequests is the weight below which a window has no say.
-	minBaselineRequests = 1.0
 	// soleCallerAfter is how long a second client account has to be absent
 	// before the evidence of the only one counts alone.
 	soleCallerAfter = 30 * time.Second
@@ -46,50 +30,6 @@
 // first detects rare failures, the second total failure within a few requests.
 var alternatives = [...]float64{0.02, 0.3}
 
-// window is an exponentially decayed count.
-type window struct {
-	weight, sum, squares float64
-}
-
-func (w *window) decay(elapsed, halfLife time.Duration) {
-	f := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
-	w.weight *= f
-	w.sum *= f
-	w.squares *= f
-}
-
-func (w *window) add(weight, sum, squares float64) {
-	w.weight += weight
-	w.sum += sum
-	w.squares += squares
-}
-
-func (w *window) mean() float64 {
-	if w.weight == 0 {
-		return 0
-	}
-
-	return w.sum / w.weight
-}
-
-// windows holds the same count for the step that is evaluated, and over the
-// fast and the slow half-life.
-type windows struct {
-	step, fast, slow window
-}
-
-func (w *windows) decay(elapsed time.Duration) {
-	w.step = window{}
-	w.fast.decay(elapsed, fastHalfLife)
-	w.slow.decay(elapsed, slowHalfLife)
-}
-
-func (w *windows) add(weight, sum, squares float64) {
-	w.step.add(weight, sum, squares)
-	w.fast.add(weight, sum, squares)
-	w.slow.add(weight, sum, squares)
-}
-
 // cusum is the cumulative sum of one failure test, in total and with each
 // failing client account left out. since counts from the last time that total
 // was zero, the most likely beginning of the fault.
@@ -105,8 +45,10 @@
 	latency  float64
 	rate     windows
 	// excess sums the excess log latency since latency was zero.
-	excess     window
-	routes     map[uint32]*windows
+	excess window
+	routes map[uint32]*windows
+	// accounts counts the requests of client accounts that saw failures.
+	accounts   map[uint32]*windows
 	soleCaller uint32
 	manySeen   time.Time
 	pending    []Counts
@@ -114,7 +56,7 @@
 }
 
 func newSuspicion() *suspicion {
-	s := &suspicion{routes: map[uint32]*windows{}}
+	s := &suspicion{routes: map[uint32]*windows{}, accounts: map[uint32]*windows{}}
 	s.reset()
 
 	return s
@@ -131,6 +73,7 @@
 	s.rate = windows{}
 	s.excess = window{}
 	clear(s.routes)
+	clear(s.accounts)
 }
 
 // detector runs the tests of Page (1954) for all upstreams of one service
@@ -168,11 +111,15 @@
 	for _, s := range d.upstreams {
 		s.roll(elapsed, now)
 	}
-	p0 := d.failureBaseline()
+	excluded := d.failingAccount()
+	p0 := d.failureBaseline(excluded)
 	latency := d.latencyBaselines()
 	for _, s := range d.upstreams {
 		for _, counts := range s.pending {
 			s.requests += counts.Requests
+			if excluded != otherAccounts {
+				counts = counts.without(excluded)
+			}
 			s.addFailures(counts, p0, scoreCap*threshold)
 			s.addLatency(counts, latency, threshold)
 		}
@@ -182,9 +129,8 @@
 
 func (s *suspicion) roll(elapsed time.Duration, now time.Time) {
 	s.rate.decay(elapsed)
-	for _, r := range s.routes {
-		r.decay(elapsed)
-	}
+	decayAll(s.routes, elapsed)
+	decayAll(s.accounts, elapsed)
 	for _, counts := range s.pending {
 		s.rate.add(float64(counts.Requests), float64(counts.Failures), 0)
 		if counts.Callers > 1 || counts.Callers == 1 && s.soleCaller != 0 && counts.SoleCaller != s.soleCaller {
@@ -194,108 +140,27 @@
 			s.soleCaller = counts.SoleCaller
 		}
 		for _, r := range counts.Routes {
-			w := s.routes[r.Route]
-			if w == nil {
-				w = &windows{}
-				s.routes[r.Route] = w
-			}
-			w.add(float64(r.Count), r.Sum, r.SumSquares)
-		}
-	}
-	for route, w := range s.routes {
-		if w.slow.weight < 0.01 {
-			delete(s.routes, route)
-		}
-	}
-}
-
-// lowerMedian returns the median, or the lower of the two middle values: with
-// exactly half of the upstreams failing, the healthy half is the reference.
-func lowerMedian(values []float64) (float64, bool) {
-	if len(values) == 0 {
-		return 0, false
-	}
-	slices.Sort(values)
-
-	return values[(len(values)-1)/2], true
-}
-
-// commonMean returns the largest of the three windows' lower medians, so that
-// neither the beginning nor the end of a service-wide change is held against
-// single upstreams. The step's own window has a say if more than half of the
-// upstreams with recent requests are in it.
-func commonMean(all []*windows) (float64, bool) {
-	var step, fast, slow []float64
-	for _, w := range all {
-		if w.step.weight > 0 {
-			step = append(step, w.step.mean())
-		}
-		if w.fast.weight >= minBaselineRequests {
-			fast = append(fast, w.fast.mean())
+			addTo(s.routes, r.Route, float64(r.Count), r.Sum, r.SumSquares)
 		}
-		if w.slow.weight >= minBaselineRequests {
-			slow = append(slow, w.slow.mean())
+		for _, a := range counts.Accounts {
+			addTo(s.accounts, a.Account, float64(a.Requests), float64(a.Failures), 0)
 		}
 	}
-	common, ok := lowerMedian(slow)
-	if m, okFast := lowerMedian(fast); okFast && ok {
-		common = max(common, m)
-	}
-	if 2*len(step) > len(slow) && ok {
-		m, _ := lowerMedian(step)
-		common = max(common, m)
-	}
-
-	return common, ok
-}
-
-// failureBaseline is the failure rate that the service's upstreams share.
-func (d *detector) failureBaseline() float64 {
-	var all []*windows
-	for _, s := range d.upstreams {
-		all = append(all, &s.rate)
-	}
-	common, _ := commonMean(all)
-
-	return min(max(common, minFailureRate), maxFailureRate)
 }
 
-// baseline is the expected log latency of a route and its variance.
-type baseline struct {
-	mean, variance float64
-}
-
-func (d *detector) latencyBaselines() map[uint32]baseline {
-	all := map[uint32][]*windows{}
-	for _, s := range d.upstreams {
-		for route, w := range s.routes {
-			all[route] = append(all[route], w)
-		}
-	}
-	baselines := map[uint32]baseline{}
-	for route, windows := range all {
-		if mean, ok := commonMean(windows); ok {
-			baselines[route] = baseline{mean, commonVariance(windows)}
-		}
-	}
-
-	return baselines
-}
+// without returns the counts less those of one client account.
+func (c Counts) without(account uint32) Counts {
+	for i, a := range c.Accounts {
+		if a.Account == account {
+			c.Requests -= a.Requests
+			c.Failures -= a.Failures
+			c.Accounts = slices.Concat(c.Accounts[:i], c.Accounts[i+1:])
 
-// commonVariance is the lower median of the variances within the upstreams.
-func commonVariance(all []*windows) float64 {
-	var values []float64
-	for _, w := range all {
-		if w.slow.weight >= minBaselineRequests {
-			mean := w.slow.mean()
-			own := max(w.slow.squares/w.slow.weight-mean*mean, 0)
-			known := min(w.slow.weight/varianceSamples, 1)
-			values = append(values, known*own+(1-known)*priorVariance)
+			break
 		}
 	}
-	v, _ := lowerMedian(values)
 
-	return max(v, minVariance)
+	return c
 }
 
 // addFailures adds the log-likelihood ratio of a failing upstream against a
