Leave free seats to the holder's renewal after a lost election

Cause: a candidate with its own vote and one more asked for the lease again every 0.4 s and so held free seats back from the holder, which renews once a second. The holder kept a bare majority, and the daemons at the other seats believed in the wrong holder (seen in daemon/limits: "got holder daemon4 at daemon1, want daemon3"). Change: a candidate that a majority of seats refused in favour of one holder pauses for a renewal interval. A candidate also takes over the term in entries, since seats forget terms when they restart and lower terms do not spread.

Without the pause the new test fails: "got a second round after 410ms, want none before the holder's renewal".

--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -95,6 +95,9 @@
 		return
 	}
 	g.known, g.searching = entry, false
+	if entry.GetHolder() != g.self.Name || entry.GetHolderIncarnation() != g.self.Incarnation {
+		g.candidate.Know(now, entry.GetTerm())
+	}
 	g.voter.Observe(now, entry.GetSeats())
 	g.candidate.Observe(g.voter.Seats())
 }
--- a/internal/core/lease/candidate.go
+++ b/internal/core/lease/candidate.go
@@ -16,7 +16,9 @@
 	random *rand.Rand
 	seats  *peerpb.Seats
 	// votes is when the last promised request was sent, by seat of this epoch.
-	votes     map[string]time.Time
+	votes map[string]time.Time
+	// rivals is whom each seat has promised the lease instead, in this round.
+	rivals    map[string]string
 	term      uint64
 	knownTerm uint64
 	heldUntil time.Time
@@ -32,7 +34,7 @@
 // NewCandidate returns a candidate without promises.
 func NewCandidate(group int, self Daemon, random *rand.Rand) *Candidate {
 	return &Candidate{
-		self: self, group: uint32(group), random: random, votes: map[string]time.Time{}, //nolint:gosec // groups are small and not negative
+		self: self, group: uint32(group), random: random, votes: map[string]time.Time{}, rivals: map[string]string{}, //nolint:gosec // groups are small and not negative
 	}
 }
 
@@ -46,6 +48,17 @@
 	}
 }
 
+// Know takes over a term that was seen elsewhere, such as in the entry of an
+// earlier holder. Seats forget terms when they restart, and entries of a lower
+// term do not spread.
+func (c *Candidate) Know(now time.Time, term uint64) {
+	c.knownTerm = max(c.knownTerm, term)
+	if c.Held(now) && term >= c.term {
+		c.term = term + 1
+		c.next = now
+	}
+}
+
 // Held reports whether the lease is held at now.
 func (c *Candidate) Held(now time.Time) bool { return now.Before(c.end()) }
 
@@ -105,6 +118,9 @@
 	case c.trying && !now.Before(c.next):
 		c.trying = false
 		c.next = now.Add(c.backoff(rank))
+		if c.beaten() {
+			c.next = c.next.Add(RenewInterval)
+		}
 
 		return c.release(now)
 	case !c.trying && !free:
@@ -115,6 +131,7 @@
 		return nil
 	}
 	c.trying = true
+	clear(c.rivals)
 	c.term = max(c.term, c.knownTerm) + 1
 	c.next = now.Add(roundTimeout)
 
@@ -127,6 +144,21 @@
 	return time.Duration(rank)*30*time.Millisecond + time.Duration(c.random.Int64N(int64(100*time.Millisecond)))
 }
 
+// beaten reports that a majority of seats named the same holder. The seats
+// that are still free are then left to its next renewal: a candidate that keeps
+// asking for them would hold them back from it.
+func (c *Candidate) beaten() bool {
+	count := map[string]int{}
+	for _, name := range c.rivals {
+		count[name]++
+		if name != "" && count[name] >= Majority(len(c.seats.GetSeats())) {
+			return true
+		}
+	}
+
+	return false
+}
+
 func (c *Candidate) release(now time.Time) []Ballot {
 	out := c.ballots(true)
 	clear(c.votes)
@@ -158,6 +190,7 @@
 		return false
 	}
 	if !result.GetPromised() {
+		c.rivals[from] = result.GetHolder()
 		c.refused(now, result)
 
 		return false
--- a/internal/core/lease/rules_test.go
+++ b/internal/core/lease/rules_test.go
@@ -87,6 +87,26 @@
 	}
 }
 
+// Guards against a candidate that keeps taking the free seats away from a
+// holder that a majority has elected.
+func TestBeatenCandidateLeavesFreeSeats(t *testing.T) {
+	t.Parallel()
+	now := epochStart
+	seats, voters, _ := elect(now, 0)
+	voters[2] = NewVoter(0, members(3)[2], now.Add(-time.Minute))
+	voters[2].Read(now, now, seats)
+	c := NewCandidate(0, Daemon{"daemon2", 1}, rand.New(rand.NewPCG(1, 1)))
+	c.Observe(seats)
+	for at := time.Duration(0); at < RenewInterval; at += 10 * time.Millisecond {
+		for _, b := range c.Ballots(now.Add(at), 2, true) {
+			if !b.Message.GetRelease() && at > 0 {
+				t.Errorf("got a second round after %v, want none before the holder's renewal", at)
+			}
+			c.Answer(now.Add(at), now.Add(at), b.To, b.Message, voters[b.To[len("daemon")]-'0'].Promise(now.Add(at), b.Message))
+		}
+	}
+}
+
 // Guards against a new seat that counts an acknowledgement whose seat may have
 // restarted, forgotten it and voted in the old epoch since.
 func TestOldAcknowledgementDoesNotCount(t *testing.T) {
--- a/internal/core/tokens/holder.go
+++ b/internal/core/tokens/holder.go
@@ -134,7 +134,7 @@
 	}
 	h.sequence++
 	request.Sequence = h.sequence
-	h.pending, h.sent, h.next, h.reported = request, now, now.Add(requestGap), now
+	h.pending, h.sent, h.next, h.reported = request, now, now.Add(RequestGap), now
 
 	return request
 }
