Accept callers once the daemon can serve them

Cause: in a demo run a daemon that was started anew refused requests, because it had no configuration yet and had heard no other availability zone; callers that hit a stopped daemon's address counted as lost. Ruled out: waiting in the refusal path, since callers with several addresses are served sooner by another daemon. Change: the callers' address is opened when a configuration is installed and keys can be checked; the stand-in caller goes to the next daemon if no connection is accepted; attempts cancelled by a hedge count as slow.

--- a/internal/adapter/caller/answer.go
+++ b/internal/adapter/caller/answer.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,10 +40,6 @@
 	fleet.ReasonDeadline:   http.StatusGatewayTimeout,
 }
 
-func listenError(address netip.AddrPort, err error) error {
-	return fmt.Errorf("listen for callers on %s: %w", address, err)
-}
-
 // refuse answers a request that got no answer from an upstream.
 func (f *Front) refuse(c echo.Context, reply fleet.Reply) error {
 	status := http.StatusServiceUnavailable
--- a/internal/adapter/caller/front.go
+++ b/internal/adapter/caller/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -50,21 +51,17 @@
 	log       *slog.Logger
 	metrics   *expvar.Map
 	server    *http.Server
-	listener  net.Listener
+	address   netip.AddrPort
 	draining  atomic.Bool
 }
 
-// New starts accepting callers on address. The clean-up function closes the
-// listener and all connections; call Stop before it for a planned stop.
+// New returns a front that accepts callers on address once it is started. The
+// clean-up function closes the listener and all connections; call Stop before it
+// for a planned stop.
 func New(
 	address netip.AddrPort, forwarder Forwarder, bounds Bounds, log *slog.Logger, metrics *expvar.Map,
-) (*Front, func(), error) {
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, nil, listenError(address, err)
-	}
-
-	f := &Front{forwarder: forwarder, bounds: bounds, log: log, metrics: metrics, listener: listener}
+) (*Front, func()) {
+	f := &Front{address: address, forwarder: forwarder, bounds: bounds, log: log, metrics: metrics}
 
 	router := echo.New()
 	router.HideBanner, router.HidePort = true, true
@@ -84,18 +81,30 @@
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 
+	return f, func() { _ = f.server.Close() }
+}
+
+// Start begins to accept callers. It does nothing after Stop.
+func (f *Front) Start() error {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(f.address))
+	if err != nil {
+		return fmt.Errorf("listen for callers on %s: %w", f.address, err)
+	}
+
+	f.address = listener.Addr().(*net.TCPAddr).AddrPort()
+
 	go func() {
 		if err := f.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			log.Error("caller listener ended", "error", err)
+			f.log.Error("caller listener ended", "error", err)
 		}
 	}()
 
-	return f, func() { _ = f.server.Close() }, nil
+	return nil
 }
 
 // Address returns the address that callers connect to.
 func (f *Front) Address() netip.AddrPort {
-	return f.listener.Addr().(*net.TCPAddr).AddrPort()
+	return f.address
 }
 
 // Drain goes on answering, and asks callers to close their connections, so that
--- a/internal/adapter/caller/front_test.go
+++ b/internal/adapter/caller/front_test.go
@@ -37,14 +37,14 @@
 func newFront(t *testing.T, f *forwarder) *Front {
 	t.Helper()
 
-	front, cleanUp, err := New(netip.MustParseAddrPort("127.0.0.1:0"), f,
+	front, cleanUp := New(netip.MustParseAddrPort("127.0.0.1:0"), f,
 		Bounds{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 10}, slog.New(slog.DiscardHandler), new(expvar.Map).Init())
-	if err != nil {
-		t.Fatalf("New: %v", err)
-	}
-
 	t.Cleanup(cleanUp)
 
+	if err := front.Start(); err != nil {
+		t.Fatalf("Start: %v", err)
+	}
+
 	return front
 }
 
--- a/internal/core/balance/choose_test.go
+++ b/internal/core/balance/choose_test.go
@@ -125,6 +125,33 @@
 	}
 }
 
+// TestAbandonedCountsAsSlow guards against hedges hiding a slow upstream: its
+// attempts are cancelled before they are answered.
+func TestAbandonedCountsAsSlow(t *testing.T) {
+	t.Parallel()
+
+	tracker, random, list := NewTracker(), newRandom(), candidates(8)
+	now := time.Unix(1000, 0)
+	slow := 0
+
+	for range 1000 {
+		i, _ := tracker.Choose(list, Request{}, now, random)
+		now = now.Add(time.Millisecond)
+		tracker.Started(list[i].Upstream)
+
+		if i == 0 {
+			tracker.Abandoned("u0", 30*time.Millisecond, now)
+			slow++
+		} else {
+			tracker.Finished(list[i].Upstream, fleet.Load{Slots: 3, InFlight: 1}, 10*time.Millisecond, now)
+		}
+	}
+
+	if want := 1000 / 8 / 2; slow > want {
+		t.Errorf("requests at the slow upstream: got %d, want at most %d", slow, want)
+	}
+}
+
 // TestChooseAvoidsPath guards against a one-way partition costing every
 // request a timeout.
 func TestChooseAvoidsPath(t *testing.T) {
--- a/internal/core/balance/tracker.go
+++ b/internal/core/balance/tracker.go
@@ -47,10 +47,16 @@
 	t.of(upstream).inFlight++
 }
 
-// Abandoned ends an attempt that says nothing about the upstream.
-func (t *Tracker) Abandoned(upstream string) {
+// Abandoned ends an attempt that was cancelled after some time, as the loser of
+// a hedge is. It took longer than that, which counts if it is above the average;
+// otherwise hedges would hide a slow upstream.
+func (t *Tracker) Abandoned(upstream string, elapsed time.Duration, now time.Time) {
 	s := t.of(upstream)
 	s.inFlight = max(0, s.inFlight-1)
+
+	if s.latencyAt.IsZero() || elapsed.Seconds() > s.latency {
+		s.observe(elapsed, now)
+	}
 }
 
 // Finished ends an attempt that got a response from the egress. A response
@@ -64,10 +70,12 @@
 		s.load, s.loadAt = load, now
 	}
 
-	if latency <= 0 {
-		return
+	if latency > 0 {
+		s.observe(latency, now)
 	}
+}
 
+func (s *stats) observe(latency time.Duration, now time.Time) {
 	seconds := latency.Seconds()
 	if s.latencyAt.IsZero() || seconds > s.latency {
 		// Peaks count at once, so that a slowing upstream loses traffic
--- a/internal/daemon/ingress/choices.go
+++ b/internal/daemon/ingress/choices.go
@@ -73,11 +73,11 @@
 	c.tracker.Unreached(upstream, time.Now())
 }
 
-func (c *choices) abandoned(upstream string) {
+func (c *choices) abandoned(upstream string, elapsed time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.tracker.Abandoned(upstream)
+	c.tracker.Abandoned(upstream, elapsed, time.Now())
 }
 
 func (c *choices) request(service string) {
--- a/internal/daemon/ingress/dispatch.go
+++ b/internal/daemon/ingress/dispatch.go
@@ -230,7 +230,7 @@
 
 	switch {
 	case abandoned && reply.Reason != fleet.ReasonUnreachable:
-		d.choices.abandoned(candidate.Upstream)
+		d.choices.abandoned(candidate.Upstream, time.Since(began))
 	case reply.Reason == fleet.ReasonUnreachable:
 		d.choices.unreached(candidate.Upstream)
 		d.observe(candidate, false)
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -37,6 +37,8 @@
 	// lameDuck is how long a stopping daemon goes on answering callers, asking
 	// each to close its connection, while it already refuses new attempts.
 	lameDuck = 2 * time.Second
+	// readyInterval is how often a starting daemon looks whether it is ready.
+	readyInterval = 50 * time.Millisecond
 )
 
 // Server is one daemon.
@@ -238,23 +240,51 @@
 	return nil
 }
 
-func (d *Server) startFront(context.Context) error {
+// startFront prepares the callers' address. Requests are accepted once the
+// daemon can serve them, because until then it could only refuse them.
+func (d *Server) startFront(ctx context.Context) error {
 	metrics := new(expvar.Map).Init()
 	d.metrics.Set("Callers", metrics)
 
-	front, cleanUp, err := caller.New(d.settings.CallerAddress, d.ingress, caller.Bounds{
+	front, cleanUp := caller.New(d.settings.CallerAddress, d.ingress, caller.Bounds{
 		MaxHeaderBytes: d.settings.MaxHeaderBytes, MaxBodyBytes: int64(d.settings.MaxBodyBytes),
 	}, d.log, metrics)
-	if err != nil {
-		return fmt.Errorf("start the front: %w", err)
-	}
-
 	d.front = front
 	d.onClose(cleanUp)
+	d.running.Go(func() { d.openFront(ctx) })
 
 	return nil
 }
 
+// openFront begins to accept callers when a configuration is installed and keys
+// can be checked.
+func (d *Server) openFront(ctx context.Context) {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+
+	for !d.ready() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+
+	if err := d.front.Start(); err != nil {
+		d.log.Error("callers cannot be accepted", "error", err)
+
+		return
+	}
+
+	d.log.Info("accepting callers", "address", d.settings.CallerAddress)
+}
+
+func (d *Server) ready() bool {
+	contact := d.Contact()
+
+	return d.loader.Current() != nil && contact.Informed() && keys.Fresh(time.Now(), contact)
+}
+
 // Restart is closed when the daemon should be stopped and started anew.
 func (d *Server) Restart() <-chan struct{} {
 	return d.restart
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -135,15 +136,15 @@
 // the one that is named Flood.
 func streams(keys map[string]string) []load.Stream {
 	list := []load.Stream{
-		{Name: "Calendar", ClientAccount: "ClubMiraflores", Method: "GET", Path: "/calendar/pond-1", Rate: 30, Idempotent: true, Entry: -1},
-		{Name: "Booking", ClientAccount: "ClubMiraflores", Method: "POST", Path: "/bookings", Rate: 10, Entry: -1},
-		{Name: "Skewed", ClientAccount: "ClubBarranco", Method: "GET", Path: "/calendar/pond-2", Rate: 30, Idempotent: true, Entry: 2},
-		{Name: "Launch", ClientAccount: "MuellePrincipal", Method: "POST", Path: "/launches", Rate: 20, Entry: -1},
-		{Name: "Roster", ClientAccount: "OficinaParques", Method: "GET", Path: "/rosters/today", Rate: 12, Idempotent: true, Entry: -1},
-		{Name: "Notice", Method: "GET", Path: "/notices", Rate: 20, Idempotent: true, Entry: -1},
-		{Name: "Withdrawn", ClientAccount: "ClubAncon", Method: "GET", Path: "/rotas", Rate: 6, Idempotent: true, Entry: -1},
-		{Name: "Flood", ClientAccount: "EscuelaSurco", Method: "GET", Path: "/calendar/pond-3", Rate: 50, Idempotent: true, Entry: -1},
-		{Name: "School", ClientAccount: "EscuelaLince", Method: "GET", Path: "/launches", Rate: 3, Idempotent: true, Entry: -1},
+		{Name: "Calendar", ClientAccount: "ClubMiraflores", Method: http.MethodGet, Path: "/calendar/pond-1", Rate: 30, Idempotent: true, Entry: -1},
+		{Name: "Booking", ClientAccount: "ClubMiraflores", Method: http.MethodPost, Path: "/bookings", Rate: 10, Entry: -1},
+		{Name: "Skewed", ClientAccount: "ClubBarranco", Method: http.MethodGet, Path: "/calendar/pond-2", Rate: 30, Idempotent: true, Entry: 2},
+		{Name: "Launch", ClientAccount: "MuellePrincipal", Method: http.MethodPost, Path: "/launches", Rate: 20, Entry: -1},
+		{Name: "Roster", ClientAccount: "OficinaParques", Method: http.MethodGet, Path: "/rosters/today", Rate: 12, Idempotent: true, Entry: -1},
+		{Name: "Notice", Method: http.MethodGet, Path: "/notices", Rate: 20, Idempotent: true, Entry: -1},
+		{Name: "Withdrawn", ClientAccount: "ClubAncon", Method: http.MethodGet, Path: "/rotas", Rate: 6, Idempotent: true, Entry: -1},
+		{Name: "Flood", ClientAccount: "EscuelaSurco", Method: http.MethodGet, Path: "/calendar/pond-3", Rate: 50, Idempotent: true, Entry: -1},
+		{Name: "School", ClientAccount: "EscuelaLince", Method: http.MethodGet, Path: "/launches", Rate: 3, Idempotent: true, Entry: -1},
 	}
 	for i := range list {
 		list[i].Host = host
--- a/internal/standin/load/caller.go
+++ b/internal/standin/load/caller.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -66,6 +67,8 @@
 	Status  int
 	Reason  string
 	Verdict Verdict
+	// unconnected says that no connection was accepted, so nothing was sent.
+	unconnected bool
 }
 
 // Client sends requests to daemons.
@@ -125,17 +128,32 @@
 		case <-time.After(time.Until(next)):
 		}
 
-		entry := stream.Entry
+		entry, tries := stream.Entry, 1
 		if entry < 0 {
-			entry = random.IntN(len(c.daemons))
+			entry, tries = random.IntN(len(c.daemons)), len(c.daemons)
 		}
 
 		id := c.run + "-" + stream.Name + "-" + strconv.Itoa(n)
 
-		group.Go(func() { deliver(c.Do(ctx, stream, id, c.daemons[entry])) })
+		group.Go(func() { deliver(c.anywhere(ctx, stream, id, entry, tries)) })
 	}
 }
 
+// anywhere sends a request to the first daemon from entry on that accepts a
+// connection, as a caller that knows several addresses does.
+func (c *Client) anywhere(ctx context.Context, stream Stream, id string, entry, tries int) Result {
+	var result Result
+
+	for i := range tries {
+		result = c.Do(ctx, stream, id, c.daemons[(entry+i)%len(c.daemons)])
+		if !result.unconnected {
+			break
+		}
+	}
+
+	return result
+}
+
 // Do sends one request and judges its answer.
 func (c *Client) Do(ctx context.Context, stream Stream, id string, daemon netip.AddrPort) Result {
 	result := Result{ID: id, Stream: stream.Name, Sent: time.Now(), Verdict: Broken}
@@ -167,8 +185,11 @@
 
 	answer, err := c.http.Do(request)
 	if err != nil {
+		var operation *net.OpError
+
 		result.Reason = err.Error()
 		result.Latency = time.Since(result.Sent)
+		result.unconnected = errors.As(err, &operation) && operation.Op == "dial"
 
 		return result
 	}
