Call local upstreams and receive their announcements

Cause: net/http repeats a request by itself when a reused connection turns out to be closed. Change: adapter/upstream. The client gives net/http bodies that it cannot rewind and stores the key headers under names that it does not look up, so that it never repeats a request. Connections count the bytes handed to them; after a failure they are sealed before the result is decided, so CallNotSent holds even if the writing goroutine has yet to run. A cut body ends in io.ErrUnexpectedEOF, a deadline or cancellation in the context's error. Hop-by-hop headers are removed both ways. The announce endpoint names the field and the expected value of bad input; fleet.AnnounceResult is its port's outcome. Ruled out: an HTTP client of our own over net.Conn (more code, same result); closing connections after each request (about 1 ms each).

--- /dev/null
+++ b/internal/adapter/upstream/announce_test.go
@@ -0,0 +1,78 @@
+package upstream
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+type fakeDirectory struct {
+	result    fleet.AnnounceResult
+	announced []fleet.Upstream
+}
+
+func (d *fakeDirectory) Announce(upstream fleet.Upstream) fleet.AnnounceResult {
+	d.announced = append(d.announced, upstream)
+
+	return d.result
+}
+
+func (d *fakeDirectory) Withdraw(name string) bool { return name == "known" }
+
+// Guards against bad announcements that change something, and against
+// rejections that do not say which field is wrong.
+func TestAnnounceEndpoint(t *testing.T) {
+	t.Parallel()
+	const good = `{"Service":"Calendar","Address":"127.0.0.1:81","Slots":3,"State":"Ready"}`
+	for name, tt := range map[string]struct {
+		method, path, body string
+		result             fleet.AnnounceResult
+		wantStatus         int
+		wantBody           string
+	}{
+		"good":            {"PUT", "/Upstreams/c-1", good, fleet.Announced, 204, ""},
+		"taken":           {"PUT", "/Upstreams/c-1", good, fleet.NameTaken, 409, `c-1`},
+		"no room":         {"PUT", "/Upstreams/c-1", good, fleet.NoRoom, 503, "maximum"},
+		"bad name":        {"PUT", "/Upstreams/c%201", good, 0, 400, "name"},
+		"no body":         {"PUT", "/Upstreams/c-1", "", 0, 400, "body"},
+		"not JSON":        {"PUT", "/Upstreams/c-1", "Slots=3", 0, 400, "body"},
+		"two objects":     {"PUT", "/Upstreams/c-1", good + good, 0, 400, "single"},
+		"unknown field":   {"PUT", "/Upstreams/c-1", strings.Replace(good, "Slots", "Slotz", 1), 0, 400, "Slotz"},
+		"large body":      {"PUT", "/Upstreams/c-1", good + strings.Repeat(" ", 5000), 0, 400, "4096"},
+		"no service":      {"PUT", "/Upstreams/c-1", strings.Replace(good, "Calendar", "", 1), 0, 400, "Service"},
+		"host name":       {"PUT", "/Upstreams/c-1", strings.Replace(good, "127.0.0.1", "localhost", 1), 0, 400, "Address"},
+		"no port":         {"PUT", "/Upstreams/c-1", strings.Replace(good, ":81", ":0", 1), 0, 400, "Address"},
+		"any address":     {"PUT", "/Upstreams/c-1", strings.Replace(good, "127.0.0.1", "0.0.0.0", 1), 0, 400, "Address"},
+		"no slots":        {"PUT", "/Upstreams/c-1", strings.Replace(good, "3", "0", 1), 0, 400, "Slots"},
+		"too many slots":  {"PUT", "/Upstreams/c-1", strings.Replace(good, "3", "1025", 1), 0, 400, "Slots"},
+		"unknown state":   {"PUT", "/Upstreams/c-1", strings.Replace(good, "Ready", "Fine", 1), 0, 400, "State"},
+		"delete":          {"DELETE", "/Upstreams/known", "", 0, 204, ""},
+		"delete unknown":  {"DELETE", "/Upstreams/c-1", "", 0, 404, "not announced"},
+		"another  method": {"POST", "/Upstreams/c-1", good, 0, 405, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			directory := &fakeDirectory{result: tt.result}
+			e := echo.New()
+			Register(e, directory)
+			recorder := httptest.NewRecorder()
+			e.ServeHTTP(recorder, httptest.NewRequest(tt.method, tt.path, strings.NewReader(tt.body)))
+			if recorder.Code != tt.wantStatus || !strings.Contains(recorder.Body.String(), tt.wantBody) {
+				t.Errorf("got %d %s, want %d %s", recorder.Code, recorder.Body, tt.wantStatus, tt.wantBody)
+			}
+			if recorder.Code == http.StatusBadRequest && len(directory.announced) > 0 {
+				t.Errorf("got %v announced, want none", directory.announced)
+			}
+			want := fleet.Upstream{Name: "c-1", Service: "Calendar", Address: netip.MustParseAddrPort("127.0.0.1:81"), Slots: 3, State: fleet.Ready}
+			if recorder.Code == http.StatusNoContent && tt.method == "PUT" && directory.announced[0] != want {
+				t.Errorf("got %v, want %v", directory.announced[0], want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/adapter/upstream/client_test.go
@@ -0,0 +1,287 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+// rawUpstream answers the n-th request it receives, over all connections, with
+// the n-th text and closes the connection after a text that is not followed by
+// "keep". It reports each request on the channel.
+func rawUpstream(t *testing.T, answers ...string) (fleet.Upstream, chan struct{}) {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	seen := make(chan struct{}, 10)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn, seen, answers)
+		}
+	}()
+
+	return fleet.Upstream{Name: "u", Address: netip.MustParseAddrPort(listener.Addr().String())}, seen
+}
+
+func answer(conn net.Conn, seen chan struct{}, answers []string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		seen <- struct{}{}
+		text, keep := strings.CutSuffix(answers[min(len(seen), len(answers))-1], "keep")
+		if text == "silence" {
+			_, _ = reader.ReadByte()
+
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		if !keep {
+			return
+		}
+	}
+}
+
+// lateContext reaches its deadline when the channel is closed.
+type lateContext struct {
+	context.Context
+	passed chan struct{}
+}
+
+func (c lateContext) Done() <-chan struct{} { return c.passed }
+
+func (c lateContext) Err() error {
+	select {
+	case <-c.passed:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
+
+// contextUntil returns a context whose deadline passes after n requests.
+func contextUntil(t *testing.T, seen chan struct{}, n int) context.Context {
+	ctx := lateContext{t.Context(), make(chan struct{})}
+	go func() {
+		for len(seen) < n {
+			time.Sleep(time.Millisecond)
+		}
+		close(ctx.passed)
+	}()
+
+	return ctx
+}
+
+func attemptWith(method, target, body string, header http.Header) fleet.Attempt {
+	return fleet.Attempt{Request: fleet.Request{
+		Method: method, Host: "estanques.example", Target: target, Header: header, Body: []byte(body),
+	}}
+}
+
+// Guards against reporting NotSent for a request that may have run, and
+// against net/http sending a request again on its own.
+func TestCallResult(t *testing.T) {
+	t.Parallel()
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	const never = 100
+	key := http.Header{"Idempotency-Key": {"12345678"}, "X-Idempotency-Key": {"12345678"}}
+	for name, tt := range map[string]struct {
+		answers  []string
+		method   string
+		body     string
+		header   http.Header
+		calls    int
+		lateAt   int // number of requests seen when the deadline passes
+		want     fleet.CallResult
+		wantSeen int
+		wantErr  error
+	}{
+		"answered":                               {[]string{ok}, "GET", "", nil, 1, never, fleet.CallAnswered, 1, nil},
+		"closed without answer":                  {[]string{""}, "POST", "x", nil, 1, never, fleet.CallFailed, 1, nil},
+		"not HTTP":                               {[]string{"hello\r\n\r\n"}, "GET", "", nil, 1, never, fleet.CallFailed, 1, nil},
+		"upgrade":                                {[]string{"HTTP/1.1 101 Switching Protocols\r\n\r\n"}, "GET", "", nil, 1, never, fleet.CallFailed, 1, nil},
+		"GET on a reused connection that closes": {[]string{ok + "keep", ""}, "GET", "", nil, 2, never, fleet.CallFailed, 2, nil},
+		"GET with a body on a reused connection that closes": {[]string{ok + "keep", ""}, "GET", "x", nil, 2, never, fleet.CallFailed, 2, nil},
+		"keyed POST on a reused connection that closes":      {[]string{ok + "keep", ""}, "POST", "x", key, 2, never, fleet.CallFailed, 2, nil},
+		"keyed empty POST on a reused connection that ends":  {[]string{ok + "keep", ""}, "POST", "", key, 2, never, fleet.CallFailed, 2, nil},
+		"deadline before the answer":                         {[]string{"silence"}, "POST", "x", nil, 1, 1, fleet.CallTimedOut, 1, nil},
+		"deadline before the call":                           {[]string{ok}, "POST", "x", nil, 1, 0, fleet.CallNotSent, 0, nil},
+		"method that cannot be sent":                         {[]string{ok}, "B AD", "", nil, 1, never, fleet.CallNotSent, 0, nil},
+		"header that cannot be sent":                         {[]string{ok}, "GET", "", http.Header{"A": {"b\n"}}, 1, never, fleet.CallNotSent, 0, nil},
+		"shed":                                               {[]string{"HTTP/1.1 503 Busy\r\nKumquatshelf-Shed: true\r\nContent-Length: 0\r\n\r\n"}, "GET", "", nil, 1, never, fleet.CallShed, 1, nil},
+		"503 that ran":                                       {[]string{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}, "GET", "", nil, 1, never, fleet.CallAnswered, 1, nil},
+		"body cut by length":                                 {[]string{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"}, "GET", "", nil, 1, never, fleet.CallAnswered, 1, io.ErrUnexpectedEOF},
+		"body cut between chunks":                            {[]string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"}, "GET", "", nil, 1, never, fleet.CallAnswered, 1, io.ErrUnexpectedEOF},
+		"chunk that is not one":                              {[]string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}, "GET", "", nil, 1, never, fleet.CallAnswered, 1, io.ErrUnexpectedEOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			upstream, seen := rawUpstream(t, tt.answers...)
+			client, cleanUp := NewClient()
+			defer cleanUp()
+			var result fleet.CallResult
+			var err error
+			for range tt.calls {
+				ctx := t.Context()
+				if tt.lateAt < never {
+					ctx = contextUntil(t, seen, tt.lateAt)
+				}
+				if tt.lateAt == 0 {
+					<-ctx.Done()
+				}
+				var got fleet.Answer
+				got, result = client.Call(ctx, upstream, attemptWith(tt.method, "/", tt.body, tt.header))
+				if result == fleet.CallAnswered {
+					_, err = io.ReadAll(got.Body)
+					_ = got.Body.Close()
+				}
+			}
+			if result != tt.want || len(seen) != tt.wantSeen || !errors.Is(err, tt.wantErr) {
+				t.Errorf("got %d, %d requests, error %v, want %d, %d, %v",
+					result, len(seen), err, tt.want, tt.wantSeen, tt.wantErr)
+			}
+		})
+	}
+}
+
+// Guards against calling a refused connection a request that may have run.
+func TestDialFailureIsNotSent(t *testing.T) {
+	t.Parallel()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	upstream := fleet.Upstream{Address: netip.MustParseAddrPort(listener.Addr().String())}
+	_ = listener.Close()
+	client, cleanUp := NewClient()
+	defer cleanUp()
+	if _, got := client.Call(t.Context(), upstream, attemptWith("POST", "/", "x", nil)); got != fleet.CallNotSent {
+		t.Errorf("got %d, want CallNotSent", got)
+	}
+}
+
+// Guards against a write that follows the statement that nothing was written,
+// and against counting the bytes of earlier requests on the connection.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	t.Parallel()
+	for name, written := range map[string]int{"nothing": 0, "one byte": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			near, far := net.Pipe()
+			defer func() { _ = far.Close() }()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			conn := &sealableConn{Conn: near}
+			_, _ = conn.Write([]byte("an earlier request"))
+			var tracker sendTracker
+			tracker.trace().GotConn(httptrace.GotConnInfo{Conn: conn, Reused: true})
+			_, _ = conn.Write(make([]byte, written))
+			if got, want := tracker.seal(), written > 0; got != want {
+				t.Errorf("got sent %v, want %v", got, want)
+			}
+			before := conn.count()
+			if n, err := conn.Write([]byte("x")); n != 0 || err == nil || conn.count() != before {
+				t.Errorf("got %d bytes, error %v, want 0 and an error", n, err)
+			}
+		})
+	}
+}
+
+// Guards against a deadline or a cancelled caller that looks like an upstream
+// which cuts its answers, and against requests that go on without a caller.
+func TestContextEndsBody(t *testing.T) {
+	t.Parallel()
+	upstream, _ := rawUpstream(t, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nokkeep")
+	client, cleanUp := NewClient()
+	defer cleanUp()
+	ctx, cancel := context.WithCancel(t.Context())
+	got, _ := client.Call(ctx, upstream, attemptWith("GET", "/", "", nil))
+	defer func() { _ = got.Body.Close() }()
+	_, _ = io.ReadFull(got.Body, make([]byte, 2))
+	cancel()
+	if _, err := got.Body.Read(make([]byte, 1)); !errors.Is(err, context.Canceled) {
+		t.Errorf("got error %v, want context.Canceled", err)
+	}
+}
+
+// Guards against headers of one connection that reach the other one, against
+// changes to the target, host or body, and against losing the trailer.
+func TestForwarding(t *testing.T) {
+	t.Parallel()
+	requests := make(chan *http.Request, 1)
+	server := &http.Server{
+		ReadHeaderTimeout: time.Minute,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			seen := r.Clone(context.Background())
+			seen.Body = io.NopCloser(strings.NewReader(string(body)))
+			requests <- seen
+			w.Header().Set("Connection", "X-Private")
+			w.Header().Set("X-Private", "1")
+			w.Header().Set("Keep-Alive", "timeout=5")
+			w.Header().Set("X-Kept", "1")
+			w.Header().Set("Trailer", "X-Sum")
+			_, _ = w.Write([]byte("ok"))
+			w.Header().Set("X-Sum", "7")
+		}),
+	}
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	client, cleanUp := NewClient()
+	defer cleanUp()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	got, result := client.Call(ctx, fleet.Upstream{Address: netip.MustParseAddrPort(listener.Addr().String())},
+		attemptWith("POST", "/a%2Fb//c?q=%20x;y", "body", http.Header{
+			"Connection": {"close, X-Own"}, "X-Own": {"1"}, "Te": {"trailers"}, "Upgrade": {"h2c"},
+			"Proxy-Authorization": {"Basic x"}, "Expect": {"100-continue"}, "X-Kept": {"1", "2"},
+			"Idempotency-Key": {"12345678"}, HeaderDeadline: {"999999"},
+		}))
+	if result != fleet.CallAnswered {
+		t.Fatalf("got result %d, want CallAnswered", result)
+	}
+	_, _ = io.ReadAll(got.Body)
+	_ = got.Body.Close()
+	if got.Header.Get("X-Private")+got.Header.Get("Keep-Alive")+got.Header.Get("Connection") != "" ||
+		got.Header.Get("X-Kept") != "1" || got.Trailer().Get("X-Sum") != "7" {
+		t.Errorf("got answer header %v, trailer %v", got.Header, got.Trailer())
+	}
+	seen := <-requests
+	for _, name := range []string{"Connection", "X-Own", "Te", "Upgrade", "Proxy-Authorization", "Expect", "User-Agent", "Accept-Encoding"} {
+		if value, found := seen.Header[name]; found {
+			t.Errorf("got request header %s: %q, want none", name, value)
+		}
+	}
+	body, _ := io.ReadAll(seen.Body)
+	gotLine := strings.Join([]string{seen.Host, seen.RequestURI, string(body), seen.Header.Get("Idempotency-Key"), strings.Join(seen.Header["X-Kept"], "+")}, " ")
+	if want := "estanques.example /a%2Fb//c?q=%20x;y body 12345678 1+2"; gotLine != want {
+		t.Errorf("got request %q, want %q", gotLine, want)
+	}
+	if left := seen.Header.Get(HeaderDeadline); len(left) != 5 || left > "60000" {
+		t.Errorf("got deadline %q, want at most 60000 milliseconds", left)
+	}
+}
--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -69,3 +69,17 @@
 	Slots    int
 	State    UpstreamState
 }
+
+// AnnounceResult is the daemon's decision about an upstream's announcement.
+type AnnounceResult int
+
+// Results of an announcement.
+const (
+	// Announced means that the upstream is known until it is silent for 3 s.
+	Announced AnnounceResult = iota
+	// NameTaken means that the name is announced with another service or
+	// address.
+	NameTaken
+	// NoRoom means that the daemon serves its maximum number of upstreams.
+	NoRoom
+)
