Join registry, queues and client in the egress

Change: daemon/egress. Run queues an attempt, starts it in a free slot, and streams the answer; the slot is held until the body ended, was closed, or its time is over. Observations are reported after the body ended. A cancellation by the ingress counts as a timeout only if the upstream had nine tenths of the attempt's time, and a deadline that passes while nobody reads the body does not blame the upstream. Ruled out: interrupting a started attempt on Cancel (an ingress that tried to take a queued attempt back would lose the answer of a started one).

--- a/internal/core/fleet/attempt.go
+++ b/internal/core/fleet/attempt.go
@@ -107,6 +107,8 @@
 	ReasonTruncated   Reason = "Truncated"
 	ReasonUpstream    Reason = "Upstream" // the upstream failed without an answer
 	ReasonUpgrade     Reason = "Upgrade"
+	// ReasonRepeated answers a repeat whose idempotency key is known.
+	ReasonRepeated Reason = "Repeated"
 )
 
 // Answer is an upstream's answer. Whoever receives it closes Body.
--- /dev/null
+++ b/internal/daemon/egress/run.go
@@ -0,0 +1,209 @@
+package egress
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/attempt"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/queue"
+)
+
+// Run runs an attempt that arrived on a session. It returns when the attempt
+// was refused, or when the head of the answer was received; the answer's body
+// then streams, and the slot is held until the body is closed or ended. The
+// context ends the attempt, including the body, as does the attempt's budget.
+func (e *Egress) Run(ctx context.Context, session fleet.Session, a fleet.Attempt) fleet.Reply {
+	w, reply := e.admit(session, a)
+	if w != nil {
+		reply = e.runAdmitted(ctx, w)
+	}
+	reply.ID, reply.Idempotent = a.ID, a.Idempotent
+	e.countReply(reply)
+
+	return reply
+}
+
+func (e *Egress) runAdmitted(ctx context.Context, w *waiter) fleet.Reply {
+	refusal := e.wait(ctx, w)
+	if refusal == nil {
+		return e.call(ctx, w)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	refusal.Load = e.load(w.lane)
+
+	return *refusal
+}
+
+// admit queues the attempt, or returns its refusal.
+func (e *Egress) admit(session fleet.Session, a fleet.Attempt) (*waiter, fleet.Reply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	admission := e.registry.Admit(session, a, now)
+	if admission.Verdict != attempt.Admitted {
+		return nil, replyTo(admission)
+	}
+	l := e.lanes[a.Upstream]
+	reply := fleet.Reply{Outcome: fleet.Ran}
+	switch {
+	case e.stopping:
+		reply = fleet.Refuse(fleet.ReasonStopping, "the daemon is stopping")
+	case l == nil || !l.announced || a.Service != l.upstream.Service:
+		reply = fleet.Refuse(fleet.ReasonNoUpstream, "the upstream is not announced for this service")
+	case e.state(l) == fleet.Draining:
+		reply = fleet.Refuse(fleet.ReasonDraining, "the upstream is draining")
+	}
+	if reply.Outcome == fleet.NotRun {
+		e.registry.Refuse(a.ID, now)
+
+		return nil, reply
+	}
+	w := &waiter{attempt: a, lane: l, deadline: now.Add(a.Budget), decided: make(chan *fleet.Reply, 1)}
+	e.waiting[a.ID] = w
+	e.push(w, now)
+
+	return w, fleet.Reply{}
+}
+
+func (e *Egress) push(w *waiter, now time.Time) {
+	l := w.lane
+	push := l.queue.Push(queue.Item{
+		ID: w.attempt.ID, ClientAccount: w.attempt.ClientAccount, Weight: w.attempt.Weight, Deadline: w.deadline,
+	}, l.upstream.Slots, max(l.upstream.Slots-l.inFlight, 0), now)
+	full := fleet.Refuse(fleet.ReasonQueueFull, "the queue is full and the client account has its share of it")
+	full.RetryAfter = push.ExpectedWait
+	for _, item := range push.Displaced {
+		e.refuse(item.ID, full)
+	}
+	switch push.Verdict {
+	case queue.Late:
+		e.refuse(w.attempt.ID, fleet.Refuse(fleet.ReasonDeadline, "the expected wait exceeds the deadline"))
+	case queue.Full:
+		e.refuse(w.attempt.ID, full)
+	case queue.Queued:
+		e.dispatch(l)
+	}
+}
+
+// dispatch starts queued attempts while slots are free.
+func (e *Egress) dispatch(l *lane) {
+	now := time.Now()
+	for l.inFlight < l.upstream.Slots {
+		item, found, expired := l.queue.Pop(now)
+		for _, late := range expired {
+			e.refuse(late.ID, fleet.Refuse(fleet.ReasonDeadline, "the deadline passed in the queue"))
+		}
+		if !found {
+			return
+		}
+		if !e.registry.Start(item.ID) {
+			continue
+		}
+		w := e.waiting[item.ID]
+		delete(e.waiting, item.ID)
+		l.inFlight++
+		e.running++
+		w.decided <- nil
+	}
+}
+
+// refuse ends a queued attempt as not run.
+func (e *Egress) refuse(id fleet.AttemptID, reply fleet.Reply) {
+	e.registry.Refuse(id, time.Now())
+	e.decide(id, reply)
+}
+
+// decide removes an attempt that the registry no longer has as queued.
+func (e *Egress) decide(id fleet.AttemptID, reply fleet.Reply) {
+	w := e.waiting[id]
+	if w == nil {
+		return
+	}
+	delete(e.waiting, id)
+	w.lane.queue.Remove(id)
+	w.decided <- &reply
+}
+
+func (e *Egress) drainQueue(l *lane, reason fleet.Reason, detail string) {
+	for _, item := range l.queue.Drain() {
+		e.refuse(item.ID, fleet.Refuse(reason, detail))
+	}
+}
+
+// wait returns nil when the attempt has started, or its refusal.
+func (e *Egress) wait(ctx context.Context, w *waiter) *fleet.Reply {
+	timer := time.NewTimer(time.Until(w.deadline))
+	defer timer.Stop()
+	reply := fleet.Refuse(fleet.ReasonDeadline, "the deadline passed in the queue")
+	select {
+	case refusal := <-w.decided:
+		return refusal
+	case <-timer.C:
+	case <-ctx.Done():
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			reply = fleet.Refuse(fleet.ReasonCancelled, "the ingress gave the attempt up")
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.registry.Refuse(w.attempt.ID, time.Now()) {
+		e.decide(w.attempt.ID, reply)
+	}
+
+	return <-w.decided
+}
+
+func (e *Egress) load(l *lane) fleet.Load {
+	return fleet.Load{InFlight: l.inFlight, Queued: l.queue.Len(), Slots: l.upstream.Slots, State: e.state(l)}
+}
+
+// call runs a started attempt.
+func (e *Egress) call(ctx context.Context, w *waiter) fleet.Reply {
+	r := e.newRun(ctx, w)
+	answer, result := e.caller.Call(r.ctx, r.upstream, w.attempt)
+	r.served = time.Since(r.started)
+	if result == fleet.CallAnswered {
+		return r.stream(answer)
+	}
+	reply := failureReply(r.ctx, result)
+	if result == fleet.CallShed {
+		reply.RetryAfter = retryAfter(answer)
+	}
+	reply.Load = r.end(attempt.Result{Outcome: reply.Outcome}, r.observation(result, 0))
+	reply.Served = r.served
+
+	return reply
+}
+
+func failureReply(ctx context.Context, result fleet.CallResult) fleet.Reply {
+	cancelled := errors.Is(ctx.Err(), context.Canceled)
+	switch {
+	case result == fleet.CallShed:
+		return fleet.Refuse(fleet.ReasonShed, "the upstream sheds load")
+	case result == fleet.CallNotSent && cancelled:
+		return fleet.Refuse(fleet.ReasonCancelled, "the attempt was cancelled before it was sent")
+	case result == fleet.CallNotSent && ctx.Err() != nil:
+		return fleet.Refuse(fleet.ReasonDeadline, "the deadline passed before the attempt was sent")
+	case result == fleet.CallNotSent:
+		return fleet.Refuse(fleet.ReasonUnreachable, "the upstream could not be reached")
+	case result == fleet.CallTimedOut:
+		return fleet.Fail(fleet.ReasonDeadline, "the deadline passed while the upstream ran the request")
+	case cancelled:
+		return fleet.Fail(fleet.ReasonCancelled, "the attempt was cancelled while the upstream ran it")
+	}
+
+	return fleet.Fail(fleet.ReasonUpstream, "the upstream closed the connection without an answer")
+}
+
+func retryAfter(answer fleet.Answer) time.Duration {
+	seconds, err := strconv.ParseUint(answer.Header.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+
+	return time.Duration(seconds) * time.Second //nolint:gosec // at most 65,535
+}
--- /dev/null
+++ b/internal/daemon/egress/stream.go
@@ -0,0 +1,188 @@
+package egress
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/attempt"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+const (
+	// maxRecordedBody is kept of an answer for repeats with the same
+	// idempotency key. The registry bounds the sum.
+	maxRecordedBody = 64 << 10
+	// timeoutShare is the part of its time that an attempt must have had for a
+	// cancellation by its ingress to count as a timeout. The ingress's own
+	// deadline ends about one network delay before the egress's.
+	timeoutShare = 0.9
+)
+
+// run is a started attempt.
+type run struct {
+	egress   *Egress
+	waiter   *waiter
+	upstream fleet.Upstream
+	// parent is the ingress's context, ctx the one with the deadline.
+	parent, ctx context.Context
+	cancel      context.CancelFunc
+	started     time.Time
+	served      time.Duration
+	once        sync.Once
+}
+
+func (e *Egress) newRun(ctx context.Context, w *waiter) *run {
+	r := &run{egress: e, waiter: w, parent: ctx, started: time.Now()}
+	limited, cancel := context.WithDeadline(ctx, w.deadline)
+	unhook := context.AfterFunc(e.base, cancel)
+	r.ctx, r.cancel = limited, func() {
+		unhook()
+		cancel()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.upstream = w.lane.upstream
+	r.upstream.State = e.state(w.lane)
+
+	return r
+}
+
+func (r *run) observation(result fleet.CallResult, status int) fleet.Observation {
+	a := r.waiter.attempt
+
+	return fleet.Observation{
+		Service: a.Service, Upstream: a.Upstream, ClientAccount: a.ClientAccount, Route: a.Route,
+		State: r.upstream.State, Result: result, Status: status, Served: r.served,
+	}
+}
+
+// end frees the slot, records the outcome and reports the observation. Only
+// the first call has an effect.
+func (r *run) end(result attempt.Result, observation fleet.Observation) fleet.Load {
+	var load fleet.Load
+	r.once.Do(func() {
+		now, e, l := time.Now(), r.egress, r.waiter.lane
+		counts := r.counts(now, &observation)
+		r.cancel()
+		e.mu.Lock()
+		e.registry.Finish(r.waiter.attempt.ID, result, now)
+		l.inFlight--
+		e.running--
+		l.queue.Served(now.Sub(r.started))
+		e.dispatch(l)
+		e.forget(l)
+		if e.stopping && e.running == 0 {
+			close(e.idle)
+		}
+		load = e.load(l)
+		e.mu.Unlock()
+		e.countResult(observation)
+		if counts {
+			e.evidence.Observe(observation)
+		}
+	})
+
+	return load
+}
+
+// counts reports whether an observation says something about the upstream. A
+// call that the ingress or the daemon's stop cancelled says nothing, unless
+// the upstream had nearly all the attempt's time.
+func (r *run) counts(now time.Time, observation *fleet.Observation) bool {
+	answered := observation.Result == fleet.CallAnswered || observation.Result == fleet.CallShed
+	if answered || !errors.Is(r.ctx.Err(), context.Canceled) {
+		return true
+	}
+	had, used := r.waiter.deadline.Sub(r.started), now.Sub(r.started)
+	if r.parent.Err() == nil || observation.Result != fleet.CallFailed || float64(used) < timeoutShare*float64(had) {
+		return false
+	}
+	observation.Result = fleet.CallTimedOut
+
+	return true
+}
+
+// stream returns the reply whose body holds the slot.
+func (r *run) stream(answer fleet.Answer) fleet.Reply {
+	b := &body{run: r, answer: answer, recording: r.waiter.attempt.IdempotencyKey != "" && !r.waiter.attempt.Idempotent}
+	// Recorded before the receiver can change it.
+	if b.recording {
+		b.header = answer.Header.Clone()
+	}
+	e := r.egress
+	e.mu.Lock()
+	load := e.load(r.waiter.lane)
+	e.mu.Unlock()
+	// Frees the slot of a body that nobody reads when its time is over.
+	b.unhook = context.AfterFunc(r.ctx, func() { b.settle(r.ctx.Err()) })
+	answer.Body = b
+
+	return fleet.Reply{Outcome: fleet.Ran, Answer: answer, Load: load, Served: r.served}
+}
+
+// body passes an answer's body on and notices how it ended.
+type body struct {
+	run       *run
+	answer    fleet.Answer
+	unhook    func() bool
+	recording bool
+	header    http.Header
+	kept      bytes.Buffer
+	// reading says that the receiver waits for the upstream.
+	reading atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	b.reading.Store(true)
+	n, err := b.answer.Body.Read(p)
+	if b.recording && b.kept.Len()+n > maxRecordedBody {
+		b.recording = false
+		b.kept = bytes.Buffer{}
+	}
+	if b.recording {
+		b.kept.Write(p[:n])
+	}
+	if err != nil {
+		b.unhook()
+		b.settle(err)
+	}
+	b.reading.Store(false)
+
+	return n, err
+}
+
+// Close implements io.Closer. Closing a body before its end cancels the call.
+func (b *body) Close() error {
+	err := b.answer.Body.Close()
+	b.unhook()
+	b.settle(nil)
+
+	return err
+}
+
+// settle ends the attempt. A nil error means that the receiver closed the body
+// before its end. A deadline that passes while the receiver is not reading is
+// the receiver's and no evidence against the upstream.
+func (b *body) settle(err error) {
+	observation := b.run.observation(fleet.CallAnswered, b.answer.Status)
+	result := attempt.Result{Outcome: fleet.Ran, Status: b.answer.Status}
+	switch {
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		observation.Truncated = true
+	case errors.Is(err, context.DeadlineExceeded) && b.reading.Load():
+		observation.Result = fleet.CallTimedOut
+	case errors.Is(err, io.EOF) && b.recording:
+		result.Kept, result.Header, result.Body = true, b.header, b.kept.Bytes()
+		if b.answer.Trailer != nil {
+			result.Trailer = b.answer.Trailer().Clone()
+		}
+	}
+	b.run.end(result, observation)
+}
