Admit an ingress's sequence 0

Cause: the stand-in's first test numbered its attempts from 0, and the registry rejected the first one as stale, because a watermark of 0 also meant that nothing was evicted. Change: the registry knows whether it has evicted a record of the ingress. A table case covers sequence 0, another the cancel that finds no free record. With the watermark going back, or not advanced by that cancel, the tests fail ('confirmed as not run, but it ran' after 77 sequences; 'got verdict 1, want 0').

--- a/internal/core/attempt/registry.go
+++ b/internal/core/attempt/registry.go
@@ -79,13 +79,25 @@
 	session     uint64
 	open        bool
 	closedAt    time.Time
-	// watermark is the highest sequence whose record was evicted. Without a
-	// record, an attempt at or below it may have run and must not start.
+	// watermark is the highest sequence whose record was evicted, if evicted
+	// is set. Without a record, an attempt at or below it may have run and
+	// must not start.
 	watermark uint64
+	evicted   bool
 	records   map[uint64]*record
 	finished  list.List
 }
 
+// pass advances the watermark.
+func (in *ingress) pass(sequence uint64) {
+	in.watermark = max(in.watermark, sequence)
+	in.evicted = true
+}
+
+func (in *ingress) passed(sequence uint64) bool {
+	return in.evicted && sequence <= in.watermark
+}
+
 // Registry tracks the attempts that reached this egress.
 // It is not safe for concurrent use.
 type Registry struct {
@@ -131,11 +143,11 @@
 
 		return Admission{Verdict: Duplicate}
 	}
-	if attempt.ID.Sequence <= in.watermark {
+	if in.passed(attempt.ID.Sequence) {
 		return Admission{Verdict: Stale}
 	}
 	if !r.room() {
-		in.watermark = attempt.ID.Sequence
+		in.pass(attempt.ID.Sequence)
 
 		return Admission{Verdict: Full}
 	}
@@ -227,7 +239,7 @@
 
 		return fleet.CancelStarted, false
 	}
-	if id.Sequence <= in.watermark {
+	if in.passed(id.Sequence) {
 		return fleet.CancelUnknown, false
 	}
 	result, outcome := fleet.CancelNotRun, fleet.NotRun
@@ -243,7 +255,7 @@
 // later. If no record is free, the watermark serves as the tombstone.
 func (r *Registry) bury(in *ingress, id fleet.AttemptID, outcome fleet.Outcome) {
 	if !r.room() {
-		in.watermark = id.Sequence
+		in.pass(id.Sequence)
 
 		return
 	}
@@ -297,7 +309,7 @@
 func (r *Registry) evict(element *list.Element) {
 	rec, _ := element.Value.(*record)
 	in := r.ingresses[rec.id.Ingress]
-	in.watermark = max(in.watermark, rec.id.Sequence)
+	in.pass(rec.id.Sequence)
 	r.drop(in, rec)
 }
 
--- a/internal/core/attempt/registry_test.go
+++ b/internal/core/attempt/registry_test.go
@@ -44,6 +44,7 @@
 		want    Verdict
 	}{
 		"first copy":            {func(*Registry) {}, session, one, Admitted},
+		"first sequence of all": {func(*Registry) {}, session, attemptOf(session, 0), Admitted},
 		"session never opened":  {func(*Registry) {}, next, one, Stale},
 		"ID of another ingress": {func(*Registry) {}, session, attemptOf(fleet.Session{Daemon: "b", Incarnation: 1}, 1), Stale},
 		"copy of a queued attempt": {func(r *Registry) {
@@ -110,6 +111,13 @@
 				start(r, session, sequence)
 			}
 		}, session, attemptOf(session, 13), Full},
+		"cancel overtook the attempt while all records were live": {func(r *Registry) {
+			for sequence := uint64(1); sequence <= 12; sequence++ {
+				start(r, session, sequence)
+			}
+			r.Cancel(session, attemptOf(session, 13).ID, egressIncarnation, epoch)
+			r.Finish(one.ID, Result{Outcome: fleet.Ran}, epoch)
+		}, session, attemptOf(session, 13), Stale},
 		"copy of an attempt that found all records live": {func(r *Registry) {
 			for sequence := uint64(1); sequence <= 13; sequence++ {
 				start(r, session, sequence)
