Do not confirm cancels of an ingress that was forgotten

Its running attempts were also hidden by the tombstone. Ruled out: never forgetting an ingress (unbounded memory); refusing one that comes back (it cannot know why). Change: once the registry has forgotten an ingress, cancels of unknown attempts from ingresses tracked afterwards leave a tombstone but are not confirmed. Running attempts of a forgotten ingress are found again. Without the new rule a table test fails ('got 1 for an attempt that ran before its ingress was forgotten, want CancelUnknown').

--- a/internal/core/attempt/registry.go
+++ b/internal/core/attempt/registry.go
@@ -84,8 +84,11 @@
 	// must not start.
 	watermark uint64
 	evicted   bool
-	records   map[uint64]*record
-	finished  list.List
+	// unsure says that the ingress may have been known before and forgotten,
+	// so that an attempt without a record may have run.
+	unsure   bool
+	records  map[uint64]*record
+	finished list.List
 }
 
 // pass advances the watermark.
@@ -109,6 +112,8 @@
 	finished list.List
 	records  int
 	keys     *keyTable
+	// forgot says that at least one ingress was forgotten.
+	forgot bool
 }
 
 // New returns an empty registry for the given incarnation of the egress.
@@ -136,7 +141,7 @@
 	if attempt.EgressIncarnation != 0 && attempt.EgressIncarnation != r.incarnation {
 		return Admission{Verdict: WrongIncarnation}
 	}
-	if known := in.records[attempt.ID.Sequence]; known != nil {
+	if _, known := r.find(attempt.ID); known != nil {
 		if known.state == finished && known.outcome == fleet.NotRun {
 			return Admission{Verdict: Cancelled}
 		}
@@ -220,6 +225,7 @@
 // is not known here may have run under an earlier incarnation, so its cancel
 // is confirmed only if it was sent to this one. Zero says that the ingress
 // does not know; the attempt then never starts here, but this is not confirmed.
+// Neither is it for an ingress that this one may have forgotten.
 func (r *Registry) Cancel(
 	session fleet.Session, id fleet.AttemptID, egressIncarnation uint64, now time.Time,
 ) (fleet.CancelResult, bool) {
@@ -227,7 +233,7 @@
 	if in == nil || egressIncarnation != 0 && egressIncarnation != r.incarnation {
 		return fleet.CancelUnknown, false
 	}
-	if rec := in.records[id.Sequence]; rec != nil {
+	if _, rec := r.find(id); rec != nil {
 		if rec.state == queued {
 			r.end(in, rec, Result{Outcome: fleet.NotRun}, now)
 
@@ -243,7 +249,7 @@
 		return fleet.CancelUnknown, false
 	}
 	result, outcome := fleet.CancelNotRun, fleet.NotRun
-	if egressIncarnation == 0 {
+	if egressIncarnation == 0 || in.unsure {
 		result, outcome = fleet.CancelUnknown, fleet.Unknown
 	}
 	r.bury(in, id, outcome)
@@ -335,12 +341,13 @@
 }
 
 func (r *Registry) find(id fleet.AttemptID) (*ingress, *record) {
+	if rec := r.detached[id]; rec != nil {
+		return nil, rec
+	}
 	in := r.ingresses[id.Ingress]
-	if in != nil && in.incarnation == id.Incarnation {
-		if rec := in.records[id.Sequence]; rec != nil {
-			return in, rec
-		}
+	if in == nil || in.incarnation != id.Incarnation {
+		return nil, nil
 	}
 
-	return nil, r.detached[id]
+	return in, in.records[id.Sequence]
 }
--- a/internal/core/attempt/registry_test.go
+++ b/internal/core/attempt/registry_test.go
@@ -261,7 +261,7 @@
 func TestIngressesAreBounded(t *testing.T) {
 	t.Parallel()
 	r := New(egressIncarnation, smallLimits())
-	other := fleet.Session{Daemon: "b", Incarnation: 1, Number: 1}
+	session, other := session, fleet.Session{Daemon: "b", Incarnation: 1, Number: 1}
 	third := fleet.Session{Daemon: "c", Incarnation: 1, Number: 1}
 	r.Open(session, epoch)
 	start(r, session, 1)
@@ -276,9 +276,19 @@
 	if !r.Open(third, epoch.Add(time.Minute)).Accepted {
 		t.Error("did not forget an idle ingress")
 	}
-	if !r.Finish(attemptOf(session, 1).ID, Result{Outcome: fleet.Ran}, epoch) || r.Len() != 0 {
+	r.Close(other, epoch)
+	session.Number++
+	r.Open(session, epoch.Add(time.Hour))
+	id := attemptOf(session, 1).ID
+	if got, _ := r.Cancel(session, id, egressIncarnation, epoch); got != fleet.CancelStarted {
+		t.Errorf("got %d for an attempt that runs since before its ingress was forgotten, want CancelStarted", got)
+	}
+	if !r.Finish(id, Result{Outcome: fleet.Ran}, epoch) || r.Len() != 0 {
 		t.Errorf("got %d records after the last attempt ended, want 0", r.Len())
 	}
+	if got, _ := r.Cancel(session, id, egressIncarnation, epoch); got != fleet.CancelUnknown {
+		t.Errorf("got %d for an attempt that ran before its ingress was forgotten, want CancelUnknown", got)
+	}
 }
 
 func start(r *Registry, s fleet.Session, sequence uint64) {
--- a/internal/core/attempt/session.go
+++ b/internal/core/attempt/session.go
@@ -15,7 +15,7 @@
 		if !r.trackable(now) {
 			return Opening{}
 		}
-		r.ingresses[session.Daemon] = newIngress(session)
+		r.ingresses[session.Daemon] = newIngress(session, r.forgot)
 
 		return Opening{Accepted: true}
 	}
@@ -32,7 +32,7 @@
 	}
 	if session.Incarnation > in.incarnation {
 		r.detach(in)
-		r.ingresses[session.Daemon] = newIngress(session)
+		r.ingresses[session.Daemon] = newIngress(session, in.unsure)
 
 		return opening
 	}
@@ -53,12 +53,13 @@
 	return r.removeQueued(in, now)
 }
 
-func newIngress(session fleet.Session) *ingress {
+func newIngress(session fleet.Session, unsure bool) *ingress {
 	return &ingress{
 		name:        session.Daemon,
 		incarnation: session.Incarnation,
 		session:     session.Number,
 		open:        true,
+		unsure:      unsure,
 		records:     map[uint64]*record{},
 	}
 }
@@ -108,6 +109,7 @@
 	}
 	r.detach(oldest)
 	delete(r.ingresses, oldest.name)
+	r.forgot = true
 
 	return true
 }
