Leave timeouts without a chance out of the evidence

Cause: an attempt that waited long in the queue starts with little time left; its timeout would count against a healthy upstream and raise false ejections. Change: a timeout is reported only if the attempt had twice the typical time of the lane's answers. Only answers change the typical time, so an upstream that freezes still gathers evidence. The registry's table tests share their loops. Ruled out: the queue's service time as the measure (it includes timeouts, so a frozen upstream would raise it until nothing counts).

--- a/internal/core/attempt/registry_test.go
+++ b/internal/core/attempt/registry_test.go
@@ -73,10 +73,7 @@
 			r.Cancel(session, one.ID, egressIncarnation, epoch)
 		}, session, one, Cancelled},
 		"record evicted": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 6; sequence++ {
-				start(r, session, sequence)
-				r.Finish(attemptOf(session, sequence).ID, Result{Outcome: fleet.Ran}, epoch)
-			}
+			runAll(r, 6)
 		}, session, one, Stale},
 		"session replaced": {func(r *Registry) {
 			r.Open(next, epoch)
@@ -107,21 +104,15 @@
 			return other
 		}(), WrongIncarnation},
 		"all records live": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 12; sequence++ {
-				start(r, session, sequence)
-			}
+			startAll(r, 12)
 		}, session, attemptOf(session, 13), Full},
 		"cancel overtook the attempt while all records were live": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 12; sequence++ {
-				start(r, session, sequence)
-			}
+			startAll(r, 12)
 			r.Cancel(session, attemptOf(session, 13).ID, egressIncarnation, epoch)
 			r.Finish(one.ID, Result{Outcome: fleet.Ran}, epoch)
 		}, session, attemptOf(session, 13), Stale},
 		"copy of an attempt that found all records live": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 13; sequence++ {
-				start(r, session, sequence)
-			}
+			startAll(r, 13)
 			r.Finish(one.ID, Result{Outcome: fleet.Ran}, epoch)
 		}, session, attemptOf(session, 13), Stale},
 	} {
@@ -162,10 +153,7 @@
 			r.Finish(id, Result{Outcome: fleet.Ran}, epoch)
 		}, here, fleet.CancelStarted, false},
 		"evicted": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 6; sequence++ {
-				start(r, session, sequence)
-				r.Finish(attemptOf(session, sequence).ID, Result{Outcome: fleet.Ran}, epoch)
-			}
+			runAll(r, 6)
 		}, here, fleet.CancelUnknown, false},
 		"session closed": {func(r *Registry) { r.Close(session, epoch) }, here, fleet.CancelUnknown, false},
 		"repeat of a running key": {func(r *Registry) {
@@ -291,6 +279,21 @@
 	}
 }
 
+// startAll starts attempts 1 to n of the session.
+func startAll(r *Registry, n uint64) {
+	for sequence := uint64(1); sequence <= n; sequence++ {
+		start(r, session, sequence)
+	}
+}
+
+// runAll runs attempts 1 to n of the session to their end.
+func runAll(r *Registry, n uint64) {
+	for sequence := uint64(1); sequence <= n; sequence++ {
+		start(r, session, sequence)
+		r.Finish(attemptOf(session, sequence).ID, Result{Outcome: fleet.Ran}, epoch)
+	}
+}
+
 func start(r *Registry, s fleet.Session, sequence uint64) {
 	r.Admit(s, attemptOf(s, sequence), epoch)
 	r.Start(attemptOf(s, sequence).ID)
--- a/internal/daemon/egress/egress.go
+++ b/internal/daemon/egress/egress.go
@@ -31,8 +31,9 @@
 	Call(ctx context.Context, upstream fleet.Upstream, attempt fleet.Attempt) (fleet.Answer, fleet.CallResult)
 }
 
-// Evidence receives one observation per attempt that was started and that its
-// ingress did not cancel. Observe must not block.
+// Evidence receives one observation per attempt that was started, except those
+// whose end says nothing about the upstream: the ingress cancelled it, or its
+// deadline left too little time to run. Observe must not block.
 type Evidence interface {
 	Observe(observation fleet.Observation)
 }
@@ -64,6 +65,8 @@
 	announcedAt time.Time
 	inFlight    int
 	queue       *queue.Queue
+	// typical is the average time to an answer's head.
+	typical time.Duration
 }
 
 // waiter is an attempt that waits in a lane's queue.
--- a/internal/daemon/egress/egress_test.go
+++ b/internal/daemon/egress/egress_test.go
@@ -213,6 +213,25 @@
 	}
 }
 
+// Guards against blaming an upstream, which answers in 100 ms, for attempts
+// that had too little time left.
+func TestTimeoutWithoutAChance(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, answers("ok", io.EOF))
+		_, _ = io.ReadAll(f.Run(t.Context(), session, attemptOf(1)).Answer.Body)
+		f.call = hangs
+		for sequence, budget := range map[uint64]time.Duration{2: 199 * time.Millisecond, 3: 200 * time.Millisecond} {
+			a := attemptOf(sequence)
+			a.Budget = budget
+			f.Run(t.Context(), session, a)
+		}
+		if len(f.observations) != 2 || f.observations[1].Result != fleet.CallTimedOut {
+			t.Errorf("got %+v, want the answer and the timeout after 200 ms", f.observations)
+		}
+	})
+}
+
 // Guards against running a queued attempt that was refused, and against an
 // attempt that waits without an end. Both slots are held when the third
 // attempt arrives.
--- a/internal/daemon/egress/stream.go
+++ b/internal/daemon/egress/stream.go
@@ -22,6 +22,13 @@
 	// cancellation by its ingress to count as a timeout. The ingress's own
 	// deadline ends about one network delay before the egress's.
 	timeoutShare = 0.9
+	// typicalGain is the weight of the newest answer in the typical time of a
+	// lane: about 8 answers of memory.
+	typicalGain = 0.125
+	// fairChance is how many typical times an attempt must have had for its
+	// timeout to count. Less is left after a long wait in the queue, which
+	// says nothing about the upstream.
+	fairChance = 2
 )
 
 // run is a started attempt.
@@ -68,9 +75,10 @@
 	var load fleet.Load
 	r.once.Do(func() {
 		now, e, l := time.Now(), r.egress, r.waiter.lane
-		counts := r.counts(now, &observation)
+		cancelled := r.ctx.Err()
 		r.cancel()
 		e.mu.Lock()
+		counts := r.counts(now, cancelled, &observation)
 		e.registry.Finish(r.waiter.attempt.ID, result, now)
 		l.inFlight--
 		e.running--
@@ -93,19 +101,33 @@
 
 // counts reports whether an observation says something about the upstream. A
 // call that the ingress or the daemon's stop cancelled says nothing, unless
-// the upstream had nearly all the attempt's time.
-func (r *run) counts(now time.Time, observation *fleet.Observation) bool {
-	answered := observation.Result == fleet.CallAnswered || observation.Result == fleet.CallShed
-	if answered || !errors.Is(r.ctx.Err(), context.Canceled) {
+// the upstream had nearly all the attempt's time. Neither does a timeout that
+// a healthy upstream would not have met.
+func (r *run) counts(now time.Time, ended error, observation *fleet.Observation) bool {
+	l, had := r.waiter.lane, r.waiter.deadline.Sub(r.started)
+	switch observation.Result {
+	case fleet.CallShed:
 		return true
+	case fleet.CallAnswered:
+		if l.typical == 0 {
+			l.typical = r.served
+		}
+		l.typical += time.Duration(typicalGain * float64(r.served-l.typical))
+
+		return true
+	case fleet.CallFailed, fleet.CallNotSent:
+		if !errors.Is(ended, context.Canceled) {
+			return true
+		}
+		used := now.Sub(r.started)
+		if r.parent.Err() == nil || observation.Result == fleet.CallNotSent || float64(used) < timeoutShare*float64(had) {
+			return false
+		}
+		observation.Result = fleet.CallTimedOut
+	case fleet.CallTimedOut:
 	}
-	had, used := r.waiter.deadline.Sub(r.started), now.Sub(r.started)
-	if r.parent.Err() == nil || observation.Result != fleet.CallFailed || float64(used) < timeoutShare*float64(had) {
-		return false
-	}
-	observation.Result = fleet.CallTimedOut
 
-	return true
+	return had >= fairChance*l.typical
 }
 
 // stream returns the reply whose body holds the slot.
