--- a/internal/core/attempt/registry_test.go
+++ b/internal/core/attempt/registry_test.go
@@ -73,10 +73,7 @@
 			r.Cancel(session, one.ID, egressIncarnation, epoch)
 		}, session, one, Cancelled},
 		"record evicted": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 6; sequence++ {
-				start(r, session, sequence)
-				r.Finish(attemptOf(session, sequence).ID, Result{Outcome: fleet.Ran}, epoch)
-			}
+			runAll(r, 6)
 		}, session, one, Stale},
 		"session replaced": {func(r *Registry) {
 			r.Open(next, epoch)
@@ -107,21 +104,15 @@
 			return other
 		}(), WrongIncarnation},
 		"all records live": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 12; sequence++ {
-				start(r, session, sequence)
-			}
+			startAll(r, 12)
 		}, session, attemptOf(session, 13), Full},
 		"cancel overtook the attempt while all records were live": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 12; sequence++ {
-				start(r, session, sequence)
-			}
+			startAll(r, 12)
 			r.Cancel(session, attemptOf(session, 13).ID, egressIncarnation, epoch)
 			r.Finish(one.ID, Result{Outcome: fleet.Ran}, epoch)
 		}, session, attemptOf(session, 13), Stale},
 		"copy of an attempt that found all records live": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 13; sequence++ {
-				start(r, session, sequence)
-			}
+			startAll(r, 13)
 			r.Finish(one.ID, Result{Outcome: fleet.Ran}, epoch)
 		}, session, attemptOf(session, 13), Stale},
 	} {
@@ -162,10 +153,7 @@
 			r.Finish(id, Result{Outcome: fleet.Ran}, epoch)
 		}, here, fleet.CancelStarted, false},
 		"evicted": {func(r *Registry) {
-			for sequence := uint64(1); sequence <= 6; sequence++ {
-				start(r, session, sequence)
-				r.Finish(attemptOf(session, sequence).ID, Result{Outcome: fleet.Ran}, epoch)
-			}
+			runAll(r, 6)
 		}, here, fleet.CancelUnknown, false},
 		"session closed": {func(r *Registry) { r.Close(session, epoch) }, here, fleet.CancelUnknown, false},
 		"repeat of a running key": {func(r *Registry) {
@@ -261,7 +249,7 @@
 func TestIngressesAreBounded(t *testing.T) {
 	t.Parallel()
 	r := New(egressIncarnation, smallLimits())
-	other := fleet.Session{Daemon: "b", Incarnation: 1, Number: 1}
+	session, other := session, fleet.Session{Daemon: "b", Incarnation: 1, Number: 1}
 	third := fleet.Session{Daemon: "c", Incarnation: 1, Number: 1}
 	r.Open(session, epoch)
 	start(r, session, 1)
@@ -276,9 +264,34 @@
 	if !r.Open(third, epoch.Add(time.Minute)).Accepted {
 		t.Error("did not forget an idle ingress")
 	}
-	if !r.Finish(attemptOf(session, 1).ID, Result{Outcome: fleet.Ran}, epoch) || r.Len() != 0 {
+	r.Close(other, epoch)
+	session.Number++
+	r.Open(session, epoch.Add(time.Hour))
+	id := attemptOf(session, 1).ID
+	if got, _ := r.Cancel(session, id, egressIncarnation, epoch); got != fleet.CancelStarted {
+		t.Errorf("got %d for an attempt that runs since before its ingress was forgotten, want CancelStarted", got)
+	}
+	if !r.Finish(id, Result{Outcome: fleet.Ran}, epoch) || r.Len() != 0 {
 		t.Errorf("got %d records after the last attempt ended, want 0", r.Len())
 	}
+	if got, _ := r.Cancel(session, id, egressIncarnation, epoch); got != fleet.CancelUnknown {
+		t.Errorf("got %d for an attempt that ran before its ingress was forgotten, want CancelUnknown", got)
+	}
+}
+
+// startAll starts attempts 1 to n of the session.
+func startAll(r *Registry, n uint64) {
+	for sequence := uint64(1); sequence <= n; sequence++ {
+		start(r, session, sequence)
+	}
+}
+
+// runAll runs attempts 1 to n of the session to their end.
+func runAll(r *Registry, n uint64) {
+	for sequence := uint64(1); sequence <= n; sequence++ {
+		start(r, session, sequence)
+		r.Finish(attemptOf(session, sequence).ID, Result{Outcome: fleet.Ran}, epoch)
+	}
 }
 
 func start(r *Registry, s fleet.Session, sequence uint64) {
