Let attempts that lost against a hedge run on

Cause: the gray upstream of the demo was ejected only after 17.1 s. Its slow attempts were cancelled when a hedge won, and cancelled attempts are no evidence. Ruled out: counting the time until the cancel as a lower bound, which needs the service's median at the egress and a new field in the reports.

--- a/internal/daemon/ingress/dispatch.go
+++ b/internal/daemon/ingress/dispatch.go
@@ -42,7 +42,7 @@
 	job
 	ctx     context.Context
 	results chan attemptResult
-	running map[string]context.CancelFunc
+	running map[string]*lifetime
 	tried   []string
 	// last is the most telling result so far: Unknown goes before NotRun.
 	last fleet.Reply
@@ -61,7 +61,7 @@
 		Ingress: in, job: j, ctx: ctx,
 		// Every attempt can deliver its result without a reader.
 		results: make(chan attemptResult, maxAttempts),
-		running: make(map[string]context.CancelFunc),
+		running: make(map[string]*lifetime),
 		last:    fleet.Refuse(fleet.ReasonNoUpstream, "the service has no upstream that takes requests"),
 	}
 	in.choices.request(j.route.Service)
@@ -176,15 +176,15 @@
 		return false
 	}
 
-	ctx, cancel := context.WithCancel(d.ctx)
+	life := newLifetime(d.ctx)
 	attempt := d.attempt(candidate, key)
 
 	d.tried = append(d.tried, candidate.Upstream)
-	d.running[candidate.Upstream] = cancel
+	d.running[candidate.Upstream] = life
 	d.Metrics.Add("Attempts", 1)
 
 	go func() {
-		d.results <- attemptResult{candidate: candidate, reply: d.try(ctx, cancel, candidate, attempt)}
+		d.results <- attemptResult{candidate: candidate, reply: d.try(life.ctx, life.cancel, candidate, attempt)}
 	}()
 
 	return true
@@ -349,18 +349,19 @@
 	return time.After(delay)
 }
 
-// dropOthers cancels the attempts that lost against a hedge and closes their
-// answers when they come.
+// dropOthers closes the answers of attempts that lost against a hedge when they
+// come. The attempts run on until the deadline: cancelling them would keep the
+// answers of slow upstreams out of the evidence, and hedges are few.
 func (d *dispatcher) dropOthers() {
 	rest := len(d.running)
-	for _, cancel := range d.running {
-		cancel()
-	}
-
 	if rest == 0 {
 		return
 	}
 
+	for _, life := range d.running {
+		life.detach(time.Until(d.deadline))
+	}
+
 	go func() {
 		for range rest {
 			if result := <-d.results; result.reply.Outcome == fleet.Ran {
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -352,7 +352,52 @@
 				if len(w.ran) != tt.want {
 					t.Errorf("attempts: got %d, want %d", len(w.ran), tt.want)
 				}
+
+				time.Sleep(time.Second) // the slow attempt ends at the deadline
 			})
 		})
 	}
 }
+
+// TestHedgeLoserRunsOn guards against hedges keeping a slow upstream's answers
+// out of the evidence by cancelling its attempts.
+func TestHedgeLoserRunsOn(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		cancelled := false
+		slow := func(ctx context.Context, a fleet.Attempt) fleet.Reply {
+			select {
+			case <-time.After(500 * time.Millisecond):
+			case <-ctx.Done():
+				cancelled = true
+			}
+
+			return answer(200, "x")(ctx, a)
+		}
+		fast := func(ctx context.Context, a fleet.Attempt) fleet.Reply {
+			time.Sleep(10 * time.Millisecond)
+
+			return answer(200, "x")(ctx, a)
+		}
+		w := &world{replies: []func(context.Context, fleet.Attempt) fleet.Reply{fast}}
+		in := newIngress(t, w)
+
+		for range 50 {
+			closeBody(in.Forward(t.Context(), request("GET", "/read", testKey)))
+		}
+
+		w.ran, w.replies = nil, []func(context.Context, fleet.Attempt) fleet.Reply{slow, fast}
+		began := time.Now()
+		closeBody(in.Forward(t.Context(), request("GET", "/read", testKey)))
+
+		if got, want := time.Since(began), 200*time.Millisecond; got > want {
+			t.Errorf("answered after: got %v, want at most %v", got, want)
+		}
+
+		time.Sleep(time.Second)
+
+		if cancelled {
+			t.Error("the slow attempt was cancelled")
+		}
+	})
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -274,22 +275,36 @@
 }
 
 // reserve returns loopback addresses with ports that were free a moment ago.
+// They lie below the ports that outgoing connections are given, one of which
+// could otherwise take a port before its server starts.
 func reserve(n int) ([]netip.AddrPort, error) {
+	const (
+		lowest  = 12000
+		highest = 32000
+	)
+
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
 	var addresses []netip.AddrPort
 
-	for range n {
-		listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	for range 100 * n {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+
+		address := netip.AddrPortFrom(loopback, uint16(lowest+rand.IntN(highest-lowest))) //nolint:gosec // a port
+
+		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 		if err != nil {
-			return nil, fmt.Errorf("reserve a port: %w", err)
+			continue
 		}
 
 		defer func() { _ = listener.Close() }()
 
-		address, _ := listener.Addr().(*net.TCPAddr)
-		addresses = append(addresses, netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port()))
+		addresses = append(addresses, address)
 	}
 
-	return addresses, nil
+	return nil, fmt.Errorf("found only %d of %d free ports", len(addresses), n)
 }
 
 func waitFor(ctx context.Context, address netip.AddrPort) error {
