Hold at most an eighth of the burst in advance

Cause: with 20 ms to wait, requests of the account with 10/s and a burst of 5 were refused inside the rate, because a daemon held up to half of the burst while the request came elsewhere. Change: a holder has at most an eighth of the burst in advance. Two more steady states are measured: 60 daemons with even traffic, and 20 ms to wait.

--- a/internal/bench/limits/scenarios.go
+++ b/internal/bench/limits/scenarios.go
@@ -29,6 +29,14 @@
 	return out
 }
 
+func spread(loads []Load, skew float64, deadline time.Duration) []Load {
+	for i := range loads {
+		loads[i].Skew, loads[i].Deadline = skew, deadline
+	}
+
+	return loads
+}
+
 func greedy() []Load {
 	out := accounts(0.9)
 	out[2].Offered = 10 * out[2].Limit.Rate
@@ -47,6 +55,8 @@
 	return []Scenario{
 		{Name: "steady state, skewed traffic", Daemons: 8, Loads: accounts(0.9), Length: 5 * time.Minute},
 		{Name: "steady state, at the rate", Daemons: 8, Loads: accounts(1), Length: 5 * time.Minute},
+		{Name: "steady state, 60 daemons, even traffic", Daemons: 60, Loads: spread(accounts(0.9), 0, 0), Length: time.Minute},
+		{Name: "steady state, 20 ms to wait", Daemons: 8, Loads: spread(accounts(0.9), 0.8, 20*time.Millisecond), Length: 2 * time.Minute},
 		{Name: "one client account at 10x its rate", Daemons: 8, Loads: greedy(), Length: time.Minute},
 		{Name: "store away for an hour", Daemons: 8, Loads: accounts(0.9)[2:], Length: 75 * time.Minute, Fault: func(f *Fleet) {
 			f.StoreAway = true
--- a/internal/core/tokens/account.go
+++ b/internal/core/tokens/account.go
@@ -146,7 +146,7 @@
 		out.Tokens = out.Waiting
 		due = true
 	}
-	if wanted := int(min(horizon, float64(a.limit.Burst)/2)); wanted >= 1 && usable < (wanted+1)/2 && !now.Before(a.retryAt) {
+	if wanted := int(min(horizon, float64(a.limit.Burst)/holderShare)); wanted >= 1 && usable < (wanted+1)/2 && !now.Before(a.retryAt) {
 		out.Tokens = out.Waiting + uint32(wanted-usable)
 		due = true
 	}
--- a/internal/core/tokens/tokens.go
+++ b/internal/core/tokens/tokens.go
@@ -37,6 +37,9 @@
 	// prefetchShare is the part of the available tokens one prefetch can take,
 	// so that one holder does not empty the bucket in advance.
 	prefetchShare = 4
+	// holderShare is the part of the burst that one holder has in advance at
+	// most. Tokens held in advance are missing where the next request arrives.
+	holderShare = 8
 	// estimateInterval is the period of the demand estimate.
 	estimateInterval = 100 * time.Millisecond
 )
