--- a/internal/bench/limits/limits_test.go
+++ b/internal/bench/limits/limits_test.go
@@ -30,7 +30,7 @@
 func TestScenarios(t *testing.T) {
 	t.Parallel()
 	none := map[string]bool{
-		"steady state, skewed traffic": true, "steady state, at the rate": true, "steady state, 60 daemons, even traffic": true, "one client account at 10x its rate": true,
+		"steady state, skewed traffic": true, "steady state, at the rate": true, "steady state, 60 daemons, even traffic": true, "steady state, 20 ms to wait": true, "one client account at 10x its rate": true,
 		"store away for an hour": true, "daemon restarted with nothing": true,
 	}
 	for _, s := range Scenarios() {
--- a/internal/core/tokens/tokens.go
+++ b/internal/core/tokens/tokens.go
@@ -39,7 +39,7 @@
 	prefetchShare = 4
 	// holderShare is the part of the burst that one holder has in advance at
 	// most. Tokens held in advance are missing where the next request arrives.
-	holderShare = 8
+	holderShare = 16
 	// estimateInterval is the period of the demand estimate.
 	estimateInterval = 100 * time.Millisecond
 )
