Test the granter's reports one by one

Cause: with less held in advance, the random cases no longer reached reports that add up, expiry counted from receipt, or spending without a check of the expiry; the row for repeated reports could not tell them apart either. Change: that row has a rate that shows the difference, three rows cover the refill that is made up for, and the large account of the random cases has a higher burst, so that more is held in advance. Broken on purpose, core/tokens now shows: reports add up "got 20 tokens, want 5"; a moment made up for twice "got 2 tokens, want 1"; made up since the grant "got 1 tokens, want 0"; not made up "got 0 tokens, want 1"; expiry not checked or counted from receipt "got 3 tokens spent, want 0".

--- a/internal/bench/limits/limits_test.go
+++ b/internal/bench/limits/limits_test.go
@@ -54,7 +54,7 @@
 }
 
 var tested = map[string]tokens.Limit{
-	"large": {Rate: 200, Burst: 100}, "medium": {Rate: 40, Burst: 10}, "single": {Rate: 20, Burst: 1}, "rare": {Rate: 0.5, Burst: 1},
+	"large": {Rate: 300, Burst: 320}, "medium": {Rate: 40, Burst: 10}, "single": {Rate: 20, Burst: 1}, "rare": {Rate: 0.5, Burst: 1},
 }
 
 // hoard makes each daemon expect demand and hold tokens, lets it be quiet for
--- a/internal/core/tokens/tokens_test.go
+++ b/internal/core/tokens/tokens_test.go
@@ -79,7 +79,26 @@
 
 			return granted(g.Handle(at(time.Minute), "a", want(1, 5), long))
 		}, want: 0},
-		{name: "repeated reports count once", steps: func(g *Granter) uint32 {
+		{name: "refill forgone since a token was spent is made up", limit: Limit{Rate: 10, Burst: 1}, steps: func(g *Granter) uint32 {
+			id := g.Handle(at(time.Minute), "a", want(1, 1), long).GetGrants()[0].GetBatch()
+			spent := &peerpb.BatchSpent{Batch: id, Tokens: 1, AgeNanoseconds: int64(120 * time.Millisecond)}
+
+			return granted(g.Handle(at(time.Minute+120*time.Millisecond), "a", want(2, 1, spent), long))
+		}, want: 1},
+		{name: "no refill is made up for before a token was spent", limit: Limit{Rate: 10, Burst: 1}, steps: func(g *Granter) uint32 {
+			id := g.Handle(at(time.Minute), "a", want(1, 1), long).GetGrants()[0].GetBatch()
+
+			return granted(g.Handle(at(time.Minute+120*time.Millisecond), "a", want(2, 1, &peerpb.BatchSpent{Batch: id, Tokens: 1}), long))
+		}, want: 0},
+		{name: "each moment is made up for once", limit: Limit{Rate: 10, Burst: 2}, steps: func(g *Granter) uint32 {
+			age := int64(120 * time.Millisecond)
+			first := g.Handle(at(time.Minute), "a", want(1, 1), long).GetGrants()[0].GetBatch()
+			second := g.Handle(at(time.Minute), "a", want(2, 1), long).GetGrants()[0].GetBatch()
+
+			return granted(g.Handle(at(time.Minute+120*time.Millisecond), "a", want(3, 2,
+				&peerpb.BatchSpent{Batch: first, Tokens: 1, AgeNanoseconds: age}, &peerpb.BatchSpent{Batch: second, Tokens: 1, AgeNanoseconds: age}), long))
+		}, want: 1},
+		{name: "repeated reports count once", limit: Limit{Rate: 100, Burst: 20}, steps: func(g *Granter) uint32 {
 			id := g.Handle(at(time.Minute), "a", want(1, 20), long).GetGrants()[0].GetBatch()
 			for i := range uint64(4) {
 				g.Handle(at(time.Minute), "a", want(2+i, 0, &peerpb.BatchSpent{Batch: id, Tokens: 5}), long)
