Grant an instance its usual latency

Cause: all but one of the remaining false ejections were by latency, of an instance that is 1.1 to 1.3x slower than the median by nature and then busy (1.4x) for 5 s.

Change: an upstream's own excess over the service's median, over a minute and at most a factor of 1.35, is not held against it.

--- a/internal/core/health/baseline.go
+++ b/internal/core/health/baseline.go
@@ -21,6 +21,9 @@
 	// requests a baseline.
 	fastHalfLife = 500 * time.Millisecond
 	slowHalfLife = 5 * time.Second
+	// usualHalfLife is that of an instance's own speed, which other load on the
+	// instance changes for seconds.
+	usualHalfLife = time.Minute
 	// minBaselineRequests is the weight below which a window has no say.
 	minBaselineRequests = 1.0
 )
--- a/internal/core/health/detector.go
+++ b/internal/core/health/detector.go
@@ -18,6 +18,11 @@
 	// Requests of one interval share their pauses and are not independent; a
 	// pause of a healthy upstream reaches into two intervals.
 	maxLatencyStep = 1.0 / 3
+	// maxUsualExcess bounds the excess log latency that is granted to an instance
+	// as its own, a factor of 1.35. More would let slow degradation pass.
+	maxUsualExcess = 0.3
+	// minUsualRequests is the weight from which an instance's own excess counts.
+	minUsualRequests = 100
 	// scoreCap bounds accumulated evidence, in thresholds, so that an upstream
 	// that the floor kept in service is cleared soon after it recovers.
 	scoreCap = 3
@@ -44,6 +49,8 @@
 	failures [len(alternatives)]cusum
 	latency  float64
 	rate     windows
+	// usual is the excess log latency over a long time.
+	usual window
 	// excess sums the excess log latency since latency was zero.
 	excess window
 	routes map[uint32]*windows
@@ -129,6 +136,7 @@
 
 func (s *suspicion) roll(elapsed time.Duration, now time.Time) {
 	s.rate.decay(elapsed)
+	s.usual.decay(elapsed, usualHalfLife)
 	decayAll(s.routes, elapsed)
 	decayAll(s.accounts, elapsed)
 	for _, counts := range s.pending {
@@ -199,12 +207,18 @@
 
 func (s *suspicion) addLatency(counts Counts, baselines map[uint32]baseline, threshold float64) {
 	step := 0.0
+	usual := 0.0
+	if s.usual.weight >= minUsualRequests {
+		usual = max(s.usual.mean(), 0)
+	}
 	for _, r := range counts.Routes {
 		b, ok := baselines[r.Route]
 		if !ok || r.Count == 0 {
 			continue
 		}
 		excess := min(r.Sum/float64(r.Count)-b.mean, maxLatencyExcess)
+		s.usual.add(float64(r.Count), float64(r.Count)*min(excess, maxUsualExcess), 0)
+		excess -= usual
 		s.excess.add(float64(r.Count), float64(r.Count)*excess, 0)
 		step += float64(r.Count) * latencyShift / b.variance * (excess - latencyShift/2)
 	}
