--- a/internal/core/health/detector.go
+++ b/internal/core/health/detector.go
@@ -32,8 +32,8 @@
 )
 
 // alternatives are the failure rates that the failure test looks for: the
-// first detects rare failures, the second total failure within a few requests.
-var alternatives = [...]float64{0.02, 0.3}
+// first detects rare failures, the last total failure within a few requests.
+var alternatives = [...]float64{0.01, 0.05, 0.3}
 
 // cusum is the cumulative sum of one failure test, in total and with each
 // failing client account left out. since counts from the last time that total
