--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,16 +7,22 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/capacity"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/health"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/table"
 )
 
 type arguments struct {
-	Seeds int `arg:"--seeds" default:"4" help:"runs per measure, each with its own fixed seed"`
+	Seeds    int  `arg:"--seeds" default:"4" help:"runs per measure, each with its own fixed seed"`
+	Capacity bool `arg:"--capacity" help:"print only the cost at the target, which takes minutes and gigabytes"`
 }
 
 // sections returns all groups of measures in the order of the table.
-func sections() []table.Section {
+func sections(args arguments) []table.Section {
+	if args.Capacity {
+		return []table.Section{capacity.Section}
+	}
+
 	return []table.Section{health.Section}
 }
 
@@ -26,7 +32,7 @@
 	if args.Seeds < 1 {
 		parser.Fail("--seeds must be at least 1")
 	}
-	if err := table.Write(os.Stdout, sections(), args.Seeds); err != nil {
+	if err := table.Write(os.Stdout, sections(args), args.Seeds); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/bench/capacity/state.go
@@ -0,0 +1,343 @@
+package capacity
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/membership"
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/publication"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/attempt"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/gossip"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/group"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/health"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/lease"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/queue"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/routing"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/tokens"
+	daemon "github.com/kumquatshelf/kumquatshelf/internal/daemon/membership"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+var begin = time.Unix(1_800_000_000, 0)
+
+func stateMeasures() []measure {
+	every := func(what, per, mechanism string, target int, build func(int) any) measure {
+		return measure{
+			role: "every daemon", what: what, unit: heap, per: per, mechanism: mechanism, sizes: thirds(target),
+			target: float64(target), rate: 1, every: true,
+			cost: func(n int) float64 { return heapOf(func() any { return build(n) }) },
+		}
+	}
+	egress := every("attempt records", "record", "registry bounded by attempt.DefaultLimits", attempt.DefaultLimits().Records, registry)
+	egress.role = "egress"
+	queued := every("queued items", "item", "queue per upstream, 16 items each", 16*perDaemon, queues)
+	queued.role = "egress"
+	arbiter := every("evidence and records", "upstream", "arbiter per service, 256 groups", upstreams/groups, arbiters)
+	arbiter.role, arbiter.every = "lease holder", false
+	granter := every("buckets, batches, last requests", "client account", "granter per group, 256 groups", accountsPerGroup, granters)
+	granter.role, granter.every = "lease holder", false
+
+	return []measure{
+		every("key table", "key", "keys.Table", accounts, keyTable),
+		every("replicated keys", "key", "packed entries of gossip", accounts, gossipKeys),
+		every("replicated members", "daemon", "packed entries of gossip, 43 upstreams each", daemons, gossipMembers),
+		every("directory of upstreams", "daemon", "maps as in daemon/server, decoded members", daemons, directory),
+		{
+			role: "every daemon", what: "installed configuration", unit: heap, per: "team", every: true, rate: 1, target: services,
+			mechanism: "publication.Snapshot with parsed teams and files", sizes: thirds(services),
+			cost: func(n int) float64 { return float64(installation(n).HeapBytes) },
+		},
+		every("route table", "route", "routing.Table", routes, func(n int) any { return routing.New(routeList(n)) }),
+		every("limits of client accounts", "client account", "map per group in core/group", accounts, limitMaps),
+		egress, queued, arbiter, granter,
+	}
+}
+
+func installation(teams int) publication.Installation {
+	result, err := publication.Install(context.Background(), publication.Size{
+		Teams: teams, Routes: teams * routes / services, ClientAccounts: teams * accounts / services, ChangesPerDay: changesPerDay,
+	})
+	if err != nil {
+		panic(err)
+	}
+
+	return result
+}
+
+func accountName(i int) string { return fmt.Sprintf("Account%06d", i) }
+
+func keyHash(i int) keys.Hash { return keys.HashOf(fmt.Sprint("key ", i)) }
+
+func keyTable(n int) any {
+	t := keys.NewTable()
+	for i := range n {
+		t.Apply(keyHash(i), accountName(i), keys.Given)
+	}
+
+	return t
+}
+
+func node() *gossip.Node {
+	settings := gossip.Settings{Name: "daemon", AvailabilityZone: "zone", Incarnation: 1, Describe: daemon.Describe}
+
+	return gossip.NewNode(settings, nil, rand.New(rand.NewPCG(1, 1)), begin) //nolint:gosec // not for secrets
+}
+
+func merge(n *gossip.Node, e fleet.Entry) {
+	n.Merge([]fleet.Entry{e}, begin)
+	n.Changes()
+	n.Rumors()
+}
+
+func gossipKeys(n int) any {
+	set := node()
+	for i := range n {
+		value, _ := proto.Marshal(&peerpb.Key{ClientAccount: accountName(i)})
+		merge(set, fleet.Entry{Kind: fleet.KindKey, Key: keyHash(i).String(), Version: 1, Value: value})
+	}
+
+	return set
+}
+
+func memberEntry(i int) fleet.Entry {
+	name := fmt.Sprintf("daemon-%04d", i)
+
+	return fleet.Entry{
+		Kind: fleet.KindMember, Key: name, Incarnation: 1, Version: 1,
+		Value: membership.MemberValue(name, fmt.Sprintf("zone-%02d", i%zones), perDaemon),
+	}
+}
+
+func gossipMembers(n int) any {
+	set := node()
+	for i := range n {
+		merge(set, memberEntry(i))
+	}
+
+	return set
+}
+
+// directory has the maps of internal/daemon/server's directory.
+func directory(n int) any {
+	type located struct {
+		upstream fleet.Upstream
+		member   *daemon.Member
+	}
+	members := map[string]*daemon.Member{}
+	byService := map[string]map[string]located{}
+	for i := range n {
+		member, _ := daemon.DecodeMember(memberEntry(i))
+		members[member.Name] = &member
+		for _, u := range member.Upstreams {
+			if byService[u.Service] == nil {
+				byService[u.Service] = map[string]located{}
+			}
+			byService[u.Service][u.Name] = located{u, &member}
+		}
+	}
+
+	return []any{members, byService}
+}
+
+func routeList(n int) []fleet.Route {
+	list := make([]fleet.Route, n)
+	for i := range list {
+		team := i % services
+		list[i] = fleet.Route{
+			Name: fmt.Sprintf("Route%05d", i), Team: fmt.Sprintf("Team%04d", team), Service: fmt.Sprintf("Service%04d", team),
+			Host: fmt.Sprintf("team%04d.example", team), PathPrefix: fmt.Sprintf("/route%05d", i), Methods: methods, Idempotent: true,
+		}
+	}
+
+	return list
+}
+
+var methods = []string{"GET", "HEAD"}
+
+func limitMaps(n int) any {
+	limits := make([]map[string]tokens.Limit, groups)
+	for i := range limits {
+		limits[i] = map[string]tokens.Limit{}
+	}
+	for i := range n {
+		name := accountName(i)
+		limits[fleet.Group(name, groups)][name] = tokens.Limit{Rate: 50, Burst: 100}
+	}
+	all := make([]*group.Group, groups)
+	for i := range all {
+		all[i] = group.New(i, leaseMember(0), begin, rand.New(rand.NewPCG(1, 1))) //nolint:gosec // not for secrets
+		all[i].Configure(begin, limits[i])
+	}
+
+	return all
+}
+
+func leaseMember(i int) lease.Member {
+	return lease.Member{
+		Name: fmt.Sprintf("daemon-%04d", i), AvailabilityZone: fmt.Sprintf("zone-%02d", i),
+		PeerAddress: netip.MustParseAddrPort("10.120.33.44:7401"), Incarnation: 5,
+	}
+}
+
+func ingressSession(i int) fleet.Session {
+	return fleet.Session{Daemon: fmt.Sprintf("daemon-%04d", i%daemons), Incarnation: 1, Number: 1}
+}
+
+func runAttempt(r *attempt.Registry, i int) {
+	session := ingressSession(i)
+	a := fleet.Attempt{ID: fleet.AttemptID{Ingress: session.Daemon, Incarnation: 1, Sequence: uint64(i + 1)}, Service: "Service0001"} //nolint:gosec // small
+	r.Admit(session, a, begin)
+	r.Start(a.ID)
+	r.Finish(a.ID, attempt.Result{Outcome: fleet.Ran}, begin)
+}
+
+func newRegistry() *attempt.Registry {
+	r := attempt.New(1, attempt.DefaultLimits())
+	for i := range daemons {
+		r.Open(ingressSession(i), begin)
+	}
+
+	return r
+}
+
+func registry(n int) any {
+	r := newRegistry()
+	for i := range n {
+		runAttempt(r, i)
+	}
+
+	return r
+}
+
+func queues(n int) any {
+	all := make([]*queue.Queue, perDaemon)
+	for i := range all {
+		all[i] = queue.New(64)
+	}
+	for i := range n {
+		all[i%perDaemon].Push(item(i), 3, 0, begin)
+	}
+
+	return all
+}
+
+func item(i int) queue.Item {
+	return queue.Item{ID: fleet.AttemptID{Ingress: "daemon-0001", Sequence: uint64(i)}, ClientAccount: accountName(i), Deadline: begin.Add(time.Hour)} //nolint:gosec // small
+}
+
+// arbiter is an arbiter with its upstreams.
+type arbiter struct {
+	*health.Arbiter
+	upstreams []health.Upstream
+}
+
+const perService = upstreams / services
+
+// newArbiters returns the arbiters of n upstreams.
+func newArbiters(n int) []arbiter {
+	var all []arbiter
+	for len(all)*perService < n {
+		service := fleet.Service{Name: fmt.Sprintf("Service%04d", len(all)), Floor: fleet.Floor{Percent: 60}, DetectionThreshold: 8}
+		a := arbiter{health.NewArbiter("daemon", service, nil, begin), nil}
+		for u := range perService {
+			a.upstreams = append(a.upstreams, health.Upstream{
+				Name: fmt.Sprintf("daemon-%04d-%02d", len(all), u), Slots: 3, State: fleet.Ready,
+				Daemon: fmt.Sprintf("daemon-%04d", u), Alive: true, AvailabilityZone: fmt.Sprintf("zone-%02d", u%zones),
+			})
+		}
+		all = append(all, a)
+	}
+
+	return all
+}
+
+// intervalRequests is the number of requests of an upstream between reports.
+const intervalRequests = 3
+
+func (a arbiter) report(now time.Time) {
+	for _, u := range a.upstreams {
+		c := health.Counts{Service: "Service", Upstream: u.Name, Requests: intervalRequests, Callers: intervalRequests}
+		for route := range uint32(intervalRequests) {
+			c.Routes = append(c.Routes, health.RouteLatency{Route: route + 1, Count: 1, Sum: 1, SumSquares: 1})
+		}
+		a.Report(c, now)
+		for z := range 3 {
+			from := health.Reporter{Daemon: fmt.Sprintf("daemon-%04d", z*7), AvailabilityZone: fmt.Sprintf("zone-%02d", z)}
+			a.ReportPath(from, health.PathCounts{Service: "Service", Upstream: u.Name, Reached: 1}, now)
+		}
+	}
+}
+
+func (a arbiter) decide(now time.Time) {
+	a.Decide(a.upstreams, now, rand.New(rand.NewPCG(1, 1))) //nolint:gosec // not for secrets
+}
+
+func arbiters(n int) any {
+	all := newArbiters(n)
+	for i := range 20 {
+		now := begin.Add(time.Duration(i) * health.ReportInterval)
+		for _, a := range all {
+			a.report(now)
+			a.decide(now)
+		}
+	}
+
+	return all
+}
+
+// load asks a granter for one token at a time, as holders do whose demand is
+// spread over all client accounts.
+type load struct {
+	granter  *tokens.Granter
+	accounts int
+	sequence []uint64
+	asked    int
+}
+
+func newLoad(n int) *load {
+	limits := map[string]tokens.Limit{}
+	for i := range n {
+		limits[accountName(i)] = tokens.Limit{Rate: 50, Burst: 100}
+	}
+
+	return &load{granter: tokens.NewGranter(begin, 1, limits), accounts: n, sequence: make([]uint64, daemons)}
+}
+
+func (l *load) ask() {
+	holder := l.asked % daemons
+	l.sequence[holder]++
+	// A share of the group's requests for a share of its client accounts.
+	interval := time.Duration(float64(time.Second) / requestsPerGroup * accountsPerGroup / float64(l.accounts))
+	now := begin.Add(time.Duration(l.asked) * interval)
+	l.asked++
+	l.granter.Handle(now, fmt.Sprintf("daemon-%04d", holder), &peerpb.TokenRequest{
+		Incarnation: 1, Sequence: l.sequence[holder],
+		Demands: []*peerpb.TokenDemand{{ClientAccount: strings.Clone(accountName(l.asked % l.accounts)), Tokens: 1, Waiting: 1}},
+	}, tokens.TTL)
+}
+
+func granters(n int) any {
+	l := newLoad(n)
+	for range int(2 * requestsPerGroup) {
+		l.ask()
+	}
+
+	return l
+}
+
+// sequence returns distinct numbers in an order unrelated to that of insertion.
+func sequence(i, n int) int {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(i)*0x9e3779b97f4a7c15) //nolint:gosec // small
+
+	return int(binary.BigEndian.Uint64(b[:])>>1) % n
+}
