Store client accounts in compact lists

Each of 280,000 client accounts was in a team's slice (56 bytes) and in a map of the configuration (72 bytes per slot), and its name pinned the line of the file that it was read from. A team now has one string of names and 16 bytes per account, which all versions share, and the configuration has a hash table of numbers over these lists.

A configuration still does not fit into 32 MB.

--- a/cmd/kumquatshelf/key.go
+++ b/cmd/kumquatshelf/key.go
@@ -68,7 +68,7 @@
 
 		return exitUnreachable
 	}
-	if _, ok := snapshot.Configuration.ClientAccounts[c.ClientAccount]; !ok {
+	if _, ok := snapshot.Configuration.ClientAccounts.Get(c.ClientAccount); !ok {
 		return p.findings(inifile.Findings{{
 			File: fmt.Sprintf("configuration version %d", snapshot.Version()), Section: "ClientAccount " + c.ClientAccount,
 			Problem: "does not exist", Expected: "a client account that is published",
--- a/cmd/kumquatshelf/validate.go
+++ b/cmd/kumquatshelf/validate.go
@@ -36,7 +36,7 @@
 		return p.findings(findings)
 	}
 	p.printf("no findings: %d services, %d routes, %d client accounts in %d team files; %d settings files",
-		len(configuration.Services), len(configuration.Routes), len(configuration.ClientAccounts), len(files), len(c.Settings))
+		len(configuration.Services), len(configuration.Routes), configuration.ClientAccounts.Len(), len(files), len(c.Settings))
 
 	return exitOK
 }
--- a/internal/config/publication/publication_test.go
+++ b/internal/config/publication/publication_test.go
@@ -334,7 +334,7 @@
 			t.Errorf("%s: got %v and version %d, want %v and %d", name, outcome, got.Version(), c.want, c.version)
 		}
 	}
-	if got, want := len(two.Configuration.ClientAccounts), 2; got != want {
+	if got, want := two.Configuration.ClientAccounts.Len(), 2; got != want {
 		t.Errorf("got %d client accounts, want %d", got, want)
 	}
 }
--- a/internal/config/teamfile/combine.go
+++ b/internal/config/teamfile/combine.go
@@ -81,7 +81,7 @@
 	for _, p := range parsed {
 		services += len(p.Team.Services)
 		routes += len(p.Team.Routes)
-		accounts += len(p.Team.ClientAccounts)
+		accounts += p.Team.ClientAccounts.Len()
 	}
 
 	return &combiner{
@@ -89,7 +89,7 @@
 			Version:        version,
 			Services:       make(map[string]fleet.Service, services),
 			Routes:         make([]fleet.Route, 0, routes),
-			ClientAccounts: make(map[string]fleet.ClientAccount, accounts),
+			ClientAccounts: fleet.NewClientAccounts(accounts),
 		},
 		slots:      slots,
 		files:      parsed,
@@ -137,12 +137,9 @@
 				fmt.Sprintf("at most the %d slots announced", announced))
 		}
 	}
-	for _, account := range team.ClientAccounts {
-		before := len(c.configuration.ClientAccounts)
-		if c.configuration.ClientAccounts[account.Name] = account; len(c.configuration.ClientAccounts) == before {
-			section := kindClientAccount + " " + account.Name
-			c.reportTwice(index, c.accountOwner(account.Name), section, section, "")
-		}
+	for _, account := range c.configuration.ClientAccounts.Add(team.ClientAccounts) {
+		section := kindClientAccount + " " + account.Name
+		c.reportTwice(index, c.accountOwner(account.Name), section, section, "")
 	}
 	for _, route := range team.Routes {
 		c.defineRoute(index, route)
@@ -153,7 +150,13 @@
 // looked up only for duplicates, which saves a map of all accounts.
 func (c *combiner) accountOwner(name string) int {
 	return slices.IndexFunc(c.files, func(p Parsed) bool {
-		return slices.ContainsFunc(p.Team.ClientAccounts, func(a fleet.ClientAccount) bool { return a.Name == name })
+		for i := range p.Team.ClientAccounts.Len() {
+			if p.Team.ClientAccounts.At(i).Name == name {
+				return true
+			}
+		}
+
+		return false
 	})
 }
 
--- a/internal/config/teamfile/teamfile.go
+++ b/internal/config/teamfile/teamfile.go
@@ -48,6 +48,7 @@
 	f := inifile.Read(file.Name, file.Content)
 	parsed := Parsed{File: file.Name}
 	seen := map[string]bool{}
+	var accounts []fleet.ClientAccount
 	for _, section := range f.Sections {
 		if section.Name == "" {
 			parsed.Team.Name, _ = section.Identifier("Team")
@@ -70,13 +71,17 @@
 		} else {
 			seen[id] = true
 		}
-		readSection(&parsed.Team, kind, name, section)
+		if kind == kindClientAccount {
+			accounts = append(accounts, readClientAccount(parsed.Team.Name, name, section))
+		} else {
+			readSection(&parsed.Team, kind, name, section)
+		}
 	}
 
 	// Daemons keep the parsed teams of all files, so that spare capacity adds up.
 	parsed.Team.Services = slices.Clone(parsed.Team.Services)
 	parsed.Team.Routes = slices.Clone(parsed.Team.Routes)
-	parsed.Team.ClientAccounts = slices.Clone(parsed.Team.ClientAccounts)
+	parsed.Team.ClientAccounts = fleet.NewAccountList(parsed.Team.Name, accounts)
 
 	return parsed, f.Findings
 }
@@ -97,8 +102,6 @@
 		team.Services = append(team.Services, readService(name, section))
 	case kindRoute:
 		team.Routes = append(team.Routes, readRoute(team.Name, name, section))
-	case kindClientAccount:
-		team.ClientAccounts = append(team.ClientAccounts, readClientAccount(team.Name, name, section))
 	}
 }
 
--- a/internal/config/teamfile/teamfile_test.go
+++ b/internal/config/teamfile/teamfile_test.go
@@ -147,7 +147,7 @@
 		if got := len(configuration.Services); got != 4 {
 			t.Errorf("%s: got %d services, want 4", deployment, got)
 		}
-		if got := len(configuration.ClientAccounts); got != 8 {
+		if got := configuration.ClientAccounts.Len(); got != 8 {
 			t.Errorf("%s: got %d client accounts, want 8", deployment, got)
 		}
 		for _, service := range configuration.Services {
@@ -174,7 +174,7 @@
 		if len(findings) > 0 || configuration == nil {
 			return
 		}
-		for _, account := range configuration.ClientAccounts {
+		for account := range configuration.ClientAccounts.All() {
 			if !(account.Rate > 0 && account.Rate <= maxLimit) || account.Burst < 1 || account.Team != parsed.Team.Name {
 				t.Fatalf("got client account %+v, want limits above zero", account)
 			}
--- a/internal/core/fleet/configuration.go
+++ b/internal/core/fleet/configuration.go
@@ -36,22 +36,12 @@
 	Open bool
 }
 
-// ClientAccount is a tenant that calls through the fleet.
-type ClientAccount struct {
-	Name string
-	Team string
-	// Rate is in requests per second over the whole fleet.
-	Rate float64
-	// Burst is the number of requests that may come at once, at least 1.
-	Burst int
-}
-
 // Team is the content of one team file.
 type Team struct {
 	Name           string
 	Services       []Service
 	Routes         []Route
-	ClientAccounts []ClientAccount
+	ClientAccounts AccountList
 }
 
 // Configuration is one published version of all team files.
@@ -60,7 +50,7 @@
 	Version        uint64
 	Services       map[string]Service
 	Routes         []Route
-	ClientAccounts map[string]ClientAccount
+	ClientAccounts *ClientAccounts
 }
 
 // TakeOutcome is the result of asking for one token of a client account.
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -220,7 +220,7 @@
 	}
 
 	name, status := in.Keys.Check(keys.HashOf(key))
-	account, known := configuration.ClientAccounts[name]
+	account, known := configuration.ClientAccounts.Get(name)
 
 	if status != keys.Given || !known {
 		return fleet.ClientAccount{}, fleet.Refuse(fleet.ReasonBadKey, "the key is not valid")
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -108,7 +108,7 @@
 			{Name: "book", Service: "S", PathPrefix: "/book", Methods: []string{"POST"}},
 			{Name: "open", Service: "S", PathPrefix: "/open", Methods: []string{"GET"}, Idempotent: true, Open: true},
 		},
-		ClientAccounts: map[string]fleet.ClientAccount{"Club": {Name: "Club", Rate: 10, Burst: 10}},
+		ClientAccounts: fleet.ClientAccountsOf(fleet.ClientAccount{Name: "Club", Rate: 10, Burst: 10}),
 	})
 
 	return in
--- a/internal/daemon/server/operator.go
+++ b/internal/daemon/server/operator.go
@@ -211,10 +211,10 @@
 
 	var list []operator.ClientAccount
 
-	for name, account := range current.ClientAccounts {
-		spent, rejected := d.ingress.Spend(name)
+	for account := range current.ClientAccounts.All() {
+		spent, rejected := d.ingress.Spend(account.Name)
 		list = append(list, operator.ClientAccount{
-			Name: name, Rate: account.Rate, Burst: account.Burst, Spent: spent, Rejected: rejected,
+			Name: account.Name, Rate: account.Rate, Burst: account.Burst, Spent: spent, Rejected: rejected,
 		})
 	}
 
