Keep published files compressed

It now keeps them deflated and inflates one when a peer asks for it. A load no longer reads the files that are parsed already.

--- a/internal/config/publication/snapshot.go
+++ b/internal/config/publication/snapshot.go
@@ -62,8 +62,8 @@
 }
 
 type file struct {
-	content []byte
-	parsed  teamfile.Parsed
+	compressed []byte
+	parsed     teamfile.Parsed
 	// findings are those of the file by itself.
 	findings inifile.Findings
 }
@@ -90,8 +90,11 @@
 		return bucket, true
 	}
 	f, ok := s.files[hash]
+	if !ok {
+		return nil, false
+	}
 
-	return f.content, ok
+	return decompress(f.compressed), true
 }
 
 // Load takes the version that source holds, reusing the parts that the current
@@ -151,7 +154,7 @@
 			return nil, LoadInvalid, inifile.Findings{{File: PartKind + "/" + hash, Problem: err.Error()}}
 		}
 	}
-	contents, ok := collect(ctx, current, source, hashes(next.Manifest.Parts))
+	contents, ok := collect(ctx, current, source, next.unparsed(current))
 	if !ok {
 		return nil, LoadIncomplete, nil
 	}
@@ -163,16 +166,14 @@
 // parse reads the team files, except those that the current snapshot has.
 func (s *Snapshot) parse(current *Snapshot, contents map[string][]byte) {
 	for team, part := range s.Manifest.Parts {
-		if current != nil {
-			if f, ok := current.files[part.Hash]; ok && f.parsed.Team.Name == team {
-				s.files[part.Hash] = f
+		if f, ok := current.parsed(team, part); ok {
+			s.files[part.Hash] = f
 
-				continue
-			}
+			continue
 		}
 		name := "published file of team " + team
-		f := file{content: contents[part.Hash]}
-		f.parsed, f.findings = teamfile.Parse(teamfile.File{Name: name, Content: f.content})
+		f := file{compressed: compress(contents[part.Hash])}
+		f.parsed, f.findings = teamfile.Parse(teamfile.File{Name: name, Content: contents[part.Hash]})
 		if f.parsed.Team.Name != team {
 			f.findings = append(f.findings, inifile.Finding{
 				File: name, Key: "Team", Problem: fmt.Sprintf("%q is not the team of the manifest", f.parsed.Team.Name), Expected: team,
@@ -182,10 +183,24 @@
 	}
 }
 
-func hashes(parts map[string]Part) []string {
+// parsed returns a team's file if the snapshot has it as that of the same team.
+func (s *Snapshot) parsed(team string, part Part) (file, bool) {
+	if s == nil {
+		return file{}, false
+	}
+	f, ok := s.files[part.Hash]
+
+	return f, ok && f.parsed.Team.Name == team
+}
+
+// unparsed returns the hashes of the files that current does not have parsed.
+// The content of the others, which are most, is not needed.
+func (s *Snapshot) unparsed(current *Snapshot) []string {
 	var all []string
-	for _, part := range parts {
-		all = append(all, part.Hash)
+	for team, part := range s.Manifest.Parts {
+		if _, ok := current.parsed(team, part); !ok {
+			all = append(all, part.Hash)
+		}
 	}
 
 	return all
