Share routes between versions and index them compactly

Each route (112 bytes) was copied into the configuration and again into the route table's map, and its strings pinned the lines of the file. The configuration now refers to the teams' routes, equal services, hosts and method lists of a team are one, and the route table is a hash table of indexes. The property test compares it with a scan of all routes.

--- a/internal/bench/capacity/state.go
+++ b/internal/bench/capacity/state.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
 	"strings"
 	"time"
 
@@ -56,7 +57,16 @@
 			mechanism: "publication.Snapshot with parsed teams and files", sizes: thirds(services),
 			cost: func(n int) float64 { return float64(installation(n).HeapBytes) },
 		},
-		every("route table", "route", "routing.Table", routes, func(n int) any { return routing.New(routeList(n)) }),
+		{
+			role: "every daemon", what: "route table", unit: heap, per: "route", every: true, rate: 1, target: routes,
+			mechanism: "routing.Table over the configuration's routes", sizes: thirds(routes),
+			cost: func(n int) float64 {
+				list := routeList(n)
+				defer runtime.KeepAlive(list)
+
+				return heapOf(func() any { return routing.New(list) })
+			},
+		},
 		every("limits of client accounts", "client account", "map per group in core/group", accounts, limitMaps),
 		egress, queued, arbiter, granter,
 	}
@@ -148,11 +158,11 @@
 	return []any{members, byService}
 }
 
-func routeList(n int) []fleet.Route {
-	list := make([]fleet.Route, n)
+func routeList(n int) []*fleet.Route {
+	list := make([]*fleet.Route, n)
 	for i := range list {
 		team := i % services
-		list[i] = fleet.Route{
+		list[i] = &fleet.Route{
 			Name: fmt.Sprintf("Route%05d", i), Team: fmt.Sprintf("Team%04d", team), Service: fmt.Sprintf("Service%04d", team),
 			Host: fmt.Sprintf("team%04d.example", team), PathPrefix: fmt.Sprintf("/route%05d", i), Methods: methods, Idempotent: true,
 		}
--- a/internal/config/teamfile/combine.go
+++ b/internal/config/teamfile/combine.go
@@ -88,7 +88,7 @@
 		configuration: &fleet.Configuration{
 			Version:        version,
 			Services:       make(map[string]fleet.Service, services),
-			Routes:         make([]fleet.Route, 0, routes),
+			Routes:         make([]*fleet.Route, 0, routes),
 			ClientAccounts: fleet.NewClientAccounts(accounts),
 		},
 		slots:      slots,
@@ -141,8 +141,8 @@
 		section := kindClientAccount + " " + account.Name
 		c.reportTwice(index, c.accountOwner(account.Name), section, section, "")
 	}
-	for _, route := range team.Routes {
-		c.defineRoute(index, route)
+	for i := range team.Routes {
+		c.defineRoute(index, &team.Routes[i])
 	}
 }
 
@@ -160,7 +160,7 @@
 	})
 }
 
-func (c *combiner) defineRoute(index int, route fleet.Route) {
+func (c *combiner) defineRoute(index int, route *fleet.Route) {
 	id := routeName{route.Service, route.Name}
 	if earlier, ok := c.routeNames[id]; ok {
 		section := kindRoute + " " + route.Name
@@ -189,7 +189,7 @@
 	}
 	first, _ := slices.BinarySearch(c.owners, index)
 	for i := first; i < len(c.owners) && c.owners[i] == index; i++ {
-		route := &c.configuration.Routes[i]
+		route := c.configuration.Routes[i]
 		if route.Host == "" || route.PathPrefix == "" {
 			continue // reported by Parse
 		}
--- a/internal/config/teamfile/teamfile.go
+++ b/internal/config/teamfile/teamfile.go
@@ -80,7 +80,7 @@
 
 	// Daemons keep the parsed teams of all files, so that spare capacity adds up.
 	parsed.Team.Services = slices.Clone(parsed.Team.Services)
-	parsed.Team.Routes = slices.Clone(parsed.Team.Routes)
+	parsed.Team.Routes = compactRoutes(parsed.Team.Routes)
 	parsed.Team.ClientAccounts = fleet.NewAccountList(parsed.Team.Name, accounts)
 
 	return parsed, f.Findings
@@ -154,6 +154,32 @@
 	return route
 }
 
+// compactRoutes returns a copy of a team's routes whose strings do not refer to
+// the lines that they were read from, and which share equal services, hosts and
+// methods.
+func compactRoutes(routes []fleet.Route) []fleet.Route {
+	routes = slices.Clone(routes)
+	shared := map[string]string{}
+	share := func(text string) string {
+		if _, ok := shared[text]; !ok {
+			text = strings.Clone(text)
+			shared[text] = text
+		}
+
+		return shared[text]
+	}
+	for i := range routes {
+		r := &routes[i]
+		r.Name, r.PathPrefix = strings.Clone(r.Name), strings.Clone(r.PathPrefix)
+		r.Team, r.Service, r.Host = share(r.Team), share(r.Service), share(r.Host)
+		if i > 0 && slices.Equal(r.Methods, routes[i-1].Methods) {
+			r.Methods = routes[i-1].Methods
+		}
+	}
+
+	return routes
+}
+
 func readHost(section *inifile.Section) string {
 	const expected = "a host name without port, such as estanques.example"
 	value, ok := section.Text("Host", expected)
@@ -219,7 +245,8 @@
 		case slices.Contains(methods, item):
 			section.Report("Methods", fmt.Sprintf("%q is listed twice", item), "each method once")
 		default:
-			methods = append(methods, item)
+			// The constant, which unlike the item does not keep the line.
+			methods = append(methods, acceptedMethods[slices.Index(acceptedMethods, item)])
 		}
 	}
 	slices.Sort(methods)
--- a/internal/core/fleet/configuration.go
+++ b/internal/core/fleet/configuration.go
@@ -47,9 +47,10 @@
 // Configuration is one published version of all team files.
 // It is immutable once installed.
 type Configuration struct {
-	Version        uint64
-	Services       map[string]Service
-	Routes         []Route
+	Version  uint64
+	Services map[string]Service
+	// Routes refer to those of the teams, which all versions share.
+	Routes         []*Route
 	ClientAccounts *ClientAccounts
 }
 
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -2,6 +2,8 @@
 package routing
 
 import (
+	"hash/maphash"
+	"math/bits"
 	"net/url"
 	"path"
 	"slices"
@@ -29,31 +31,63 @@
 // AnyHost is the host of routes that match every host.
 const AnyHost = "*"
 
-type key struct {
-	host   string
-	prefix string
-}
-
-// Table is an immutable index of a configuration's routes.
+// Table is an immutable index of a configuration's routes. It refers to the
+// routes, so that it needs 12 to 20 bytes for each.
 type Table struct {
-	routes map[key][]fleet.Route
+	routes []*fleet.Route
+	// slots is a hash table with linear probing over hosts and prefixes. It
+	// holds 1 more than the index of the first route of each, or 0.
+	slots []uint32
+	// next holds 1 more than the index of the next route with the same host and
+	// prefix, or 0.
+	next []uint32
+	seed maphash.Seed
 }
 
-// New returns the table of the given routes.
-func New(routes []fleet.Route) *Table {
-	t := &Table{routes: make(map[key][]fleet.Route, len(routes))}
-	for _, route := range routes {
-		k := key{host: strings.ToLower(route.Host), prefix: trim(route.PathPrefix)}
-		if k.host == "" {
-			k.host = AnyHost
-		}
+// New returns the table of the given routes, which must not be changed.
+func New(routes []*fleet.Route) *Table {
+	size := 4
+	for 3*size < 4*len(routes) {
+		size *= 2
+	}
 
-		t.routes[k] = append(t.routes[k], route)
+	t := &Table{
+		routes: routes, slots: make([]uint32, size), next: make([]uint32, len(routes)), seed: maphash.MakeSeed(),
+	}
+
+	// Backwards, so that the routes of one place are found in their order.
+	for i := len(routes) - 1; i >= 0; i-- {
+		slot := t.find(hostOf(routes[i]), trim(routes[i].PathPrefix))
+		t.next[i] = t.slots[slot]
+		t.slots[slot] = uint32(i + 1) //nolint:gosec // far below 2^32
 	}
 
 	return t
 }
 
+func hostOf(route *fleet.Route) string {
+	if route.Host == "" {
+		return AnyHost
+	}
+
+	return strings.ToLower(route.Host)
+}
+
+// find returns the slot of a host and prefix, or the free slot for them.
+func (t *Table) find(host, prefix string) uint64 {
+	mask := uint64(len(t.slots) - 1)
+	at := (maphash.String(t.seed, host) ^ bits.RotateLeft64(maphash.String(t.seed, prefix), 32)) & mask
+
+	for ; t.slots[at] != 0; at = (at + 1) & mask {
+		route := t.routes[t.slots[at]-1]
+		if trim(route.PathPrefix) == prefix && hostOf(route) == host {
+			break
+		}
+	}
+
+	return at
+}
+
 // Match returns the route with the longest prefix of whole path segments for
 // the host, then for any host. The host may carry a port.
 func (t *Table) Match(method, host, target string) (fleet.Route, Result) {
@@ -66,14 +100,11 @@
 
 	for _, h := range []string{hostname(host), AnyHost} {
 		for prefix := requestPath; ; prefix = prefix[:strings.LastIndexByte(prefix, '/')] {
-			routes := t.routes[key{host: h, prefix: prefix}]
-			for _, route := range routes {
-				if slices.Contains(route.Methods, method) {
-					return route, Matched
+			for i := t.slots[t.find(h, prefix)]; i != 0; i = t.next[i-1] {
+				if slices.Contains(t.routes[i-1].Methods, method) {
+					return *t.routes[i-1], Matched
 				}
-			}
 
-			if len(routes) > 0 {
 				result = MethodNotAllowed
 			}
 
--- a/internal/core/routing/table_test.go
+++ b/internal/core/routing/table_test.go
@@ -1,8 +1,12 @@
 package routing
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 )
 
@@ -11,7 +15,7 @@
 func TestMatch(t *testing.T) {
 	t.Parallel()
 
-	table := New([]fleet.Route{
+	table := New([]*fleet.Route{
 		{Name: "public", Host: "ponds.example", PathPrefix: "/public", Methods: []string{"GET"}, Open: true},
 		{Name: "calendar", Host: "ponds.example", PathPrefix: "/calendar/", Methods: []string{"GET", "HEAD"}},
 		{Name: "day", Host: "ponds.example", PathPrefix: "/calendar/day", Methods: []string{"GET"}},
@@ -47,3 +51,40 @@
 		}
 	}
 }
+
+// TestMatchLikeScan guards against routes that the hash table loses or finds at
+// another place, by comparison with a scan of all routes.
+func TestMatchLikeScan(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		host := rapid.SampledFrom([]string{"a.example", "b.example", "A.example"})
+		path := rapid.SampledFrom([]string{"/", "/a", "/a/b", "/a/b/c", "/b", "/ab"})
+		method := rapid.SampledFrom([]string{"GET", "POST"})
+		var routes []*fleet.Route
+		for i := range rapid.IntRange(0, 12).Draw(t, "routes") {
+			routes = append(routes, &fleet.Route{
+				Name: strconv.Itoa(i), Host: host.Draw(t, "host"), PathPrefix: path.Draw(t, "prefix"), Methods: []string{method.Draw(t, "method")},
+			})
+		}
+		gotMethod, gotHost, target := method.Draw(t, "wanted"), host.Draw(t, "to"), path.Draw(t, "target")
+		want, wantResult := fleet.Route{}, NoRoute
+		for _, r := range routes {
+			prefix := trim(r.PathPrefix)
+			if !strings.EqualFold(r.Host, gotHost) || !strings.HasPrefix(trim(target)+"/", prefix+"/") {
+				continue
+			}
+			if r.Methods[0] != gotMethod {
+				wantResult = MethodNotAllowed
+			} else if want.Name == "" || len(prefix) > len(trim(want.PathPrefix)) {
+				want = *r
+			}
+		}
+		if want.Name != "" {
+			wantResult = Matched
+		}
+		got, result := New(routes).Match(gotMethod, gotHost, target)
+		if got.Name != want.Name || result != wantResult {
+			t.Fatalf("got %q and %v, want %q and %v", got.Name, result, want.Name, wantResult)
+		}
+	})
+}
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -103,7 +103,7 @@
 	in.Configure(&fleet.Configuration{
 		Version:  1,
 		Services: map[string]fleet.Service{"S": {Name: "S", Deadline: time.Second}},
-		Routes: []fleet.Route{
+		Routes: []*fleet.Route{
 			{Name: "read", Service: "S", PathPrefix: "/read", Methods: []string{"GET"}, Idempotent: true},
 			{Name: "book", Service: "S", PathPrefix: "/book", Methods: []string{"POST"}},
 			{Name: "open", Service: "S", PathPrefix: "/open", Methods: []string{"GET"}, Idempotent: true, Open: true},
