Pack the replicated keys by leaf

Each replicated key took a map slot of 24 bytes and a string of 64 bytes beside the 46 to 52 bytes that it needs. A leaf of about 70 keys is now one byte slice, which is scanned.

--- a/internal/core/gossip/set.go
+++ b/internal/core/gossip/set.go
@@ -6,6 +6,7 @@
 package gossip
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/hex"
 
@@ -50,16 +51,16 @@
 	return Version{KeyHash(e.Kind, e.Key), e.Incarnation, e.Version}
 }
 
-// set stores entries by leaf, each packed into one string: at 280,000 keys the
-// unpacked entries would exceed the 32 MB of section 1.3. Of two keys with the
+// set stores packed entries by leaf: at 280,000 keys the unpacked entries would
+// exceed the 32 MB of section 1.3. Of two keys with the
 // same 64-bit hash only the first is stored; among 300,000 entries the chance
 // of one such pair is below 1 in 100 million.
 type set struct {
 	// keys holds key entries by leaf and others the rest by bucket, so that
 	// going over the members does not pass 280,000 keys, and a set without
 	// keys stays small.
-	keys   [leaves]map[uint64]string
-	others [Buckets]map[uint64]string
+	keys   [leaves]packedLeaf
+	others [Buckets]map[uint64][]byte
 	hashes [leaves]uint64
 	count  int
 }
@@ -78,14 +79,15 @@
 	return xxhash.Sum64(b[:])
 }
 
-func (s *set) lookup(keyHash uint64) (string, bool) {
+// lookup returns a packed entry, which is valid until the set changes.
+func (s *set) lookup(keyHash uint64) ([]byte, bool) {
 	leaf := leafOf(keyHash)
 	if packed, ok := s.others[leaf/LeavesPerBucket][keyHash]; ok {
 		return packed, true
 	}
-	packed, ok := s.keys[leaf][keyHash]
+	packed, _, _ := s.keys[leaf].find(keyHash)
 
-	return packed, ok
+	return packed, packed != nil
 }
 
 func (s *set) version(keyHash uint64) (Version, bool) {
@@ -120,20 +122,22 @@
 func (s *set) put(e fleet.Entry) {
 	v := versionOf(e)
 	leaf := leafOf(v.KeyHash)
-	table := &s.others[leaf/LeavesPerBucket]
-	if e.Kind == fleet.KindKey {
-		table = &s.keys[leaf]
-	}
-	if *table == nil {
-		*table = map[uint64]string{}
-	}
 	if old, ok := s.version(v.KeyHash); ok {
 		s.hashes[leaf] ^= old.hash()
 	} else {
 		s.count++
 	}
 	s.hashes[leaf] ^= v.hash()
-	(*table)[v.KeyHash] = pack(e)
+	if e.Kind == fleet.KindKey {
+		s.keys[leaf] = s.keys[leaf].put(v.KeyHash, pack(e))
+
+		return
+	}
+	bucket := &s.others[leaf/LeavesPerBucket]
+	if *bucket == nil {
+		*bucket = map[uint64][]byte{}
+	}
+	(*bucket)[v.KeyHash] = pack(e)
 }
 
 func (s *set) remove(kind fleet.EntryKind, key string) {
@@ -145,17 +149,24 @@
 	leaf := leafOf(keyHash)
 	s.hashes[leaf] ^= old.hash()
 	delete(s.others[leaf/LeavesPerBucket], keyHash)
-	delete(s.keys[leaf], keyHash)
+	s.keys[leaf] = s.keys[leaf].remove(keyHash)
 	s.count--
 }
 
 func (s *set) visit(kind fleet.EntryKind, f func(fleet.Entry)) {
-	tables := s.others[:]
 	if kind == fleet.KindKey {
-		tables = s.keys[:]
+		for _, leaf := range s.keys {
+			leaf.each(func(_ uint64, packed []byte, _, _ int) bool {
+				f(unpack(packed))
+
+				return true
+			})
+		}
+
+		return
 	}
-	for leaf := range tables {
-		for _, packed := range tables[leaf] {
+	for _, bucket := range s.others {
+		for _, packed := range bucket {
 			if fleet.EntryKind(packed[0]) == kind {
 				f(unpack(packed))
 			}
@@ -164,10 +175,12 @@
 }
 
 func (s *set) leafVersions(leaf int, f func(Version)) {
-	for keyHash, packed := range s.keys[leaf] {
+	s.keys[leaf].each(func(keyHash uint64, packed []byte, _, _ int) bool {
 		h := unpackHead(packed)
 		f(Version{keyHash, h.incarnation, h.version})
-	}
+
+		return true
+	})
 	for keyHash, packed := range s.others[leaf/LeavesPerBucket] {
 		if leafOf(keyHash) == leaf {
 			h := unpackHead(packed)
@@ -196,14 +209,14 @@
 	start                int
 }
 
-func pack(e fleet.Entry) string {
+func pack(e fleet.Entry) []byte {
 	key, isHex := e.Key, byte(0)
 	if len(key) == 2*hexKeyBytes {
 		if raw, err := hex.DecodeString(key); err == nil && hex.EncodeToString(raw) == key {
 			key, isHex = string(raw), 1
 		}
 	}
-	b := make([]byte, 0, 32+len(key)+len(e.Value))
+	b := make([]byte, 0, 2+3*binary.MaxVarintLen64+len(key)+len(e.Value))
 	b = append(b, byte(e.Kind), isHex)
 	b = binary.AppendUvarint(b, e.Incarnation)
 	b = binary.AppendUvarint(b, e.Version)
@@ -211,10 +224,10 @@
 	b = append(b, key...)
 	b = append(b, e.Value...)
 
-	return string(b)
+	return bytes.Clone(b) // without the spare capacity
 }
 
-func unpackHead(packed string) head {
+func unpackHead(packed []byte) head {
 	h := head{isHex: packed[1] == 1}
 	at := 2
 	next := func() uint64 {
@@ -235,17 +248,20 @@
 	return h
 }
 
-func unpack(packed string) fleet.Entry {
+func unpack(packed []byte) fleet.Entry {
 	h := unpackHead(packed)
-	key := packed[h.start : h.start+h.keyBytes]
+	rawKey := packed[h.start : h.start+h.keyBytes]
+	var key string
 	if h.isHex {
-		key = hex.EncodeToString([]byte(key))
+		key = hex.EncodeToString(rawKey)
+	} else {
+		key = string(rawKey)
 	}
 	e := fleet.Entry{
 		Kind: fleet.EntryKind(packed[0]), Key: key, Incarnation: h.incarnation, Version: h.version,
 	}
-	if value := packed[h.start+h.keyBytes:]; value != "" {
-		e.Value = []byte(value)
+	if value := packed[h.start+h.keyBytes:]; len(value) > 0 {
+		e.Value = bytes.Clone(value)
 	}
 
 	return e
