Look limits up in the configuration instead of maps per group

Each daemon is a holder in all 256 groups and so kept a second copy of all limits in maps. tokens.Limits is now an interface: LimitsOf views one group of the configuration's client accounts, and LimitMap is the former map.

--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -32,6 +32,12 @@
 	requestsPerGroup  = 2_000_000.0 / groups
 )
 
+// Roles.
+const (
+	everyDaemon = "every daemon"
+	leaseHolder = "lease holder"
+)
+
 // streamOverheadBytes is what yamux adds to each exchange: six headers.
 const streamOverheadBytes = 6 * 12
 
--- a/internal/bench/capacity/messages.go
+++ b/internal/bench/capacity/messages.go
@@ -31,7 +31,7 @@
 	sent := func(role, what, per, mechanism string, sizes []int, target, rate float64, cost func(int) float64) measure {
 		return measure{
 			role: role, what: what, unit: traffic, per: per, mechanism: mechanism, sizes: sizes, target: target, rate: rate,
-			cost: cost, every: role == "every daemon",
+			cost: cost, every: role == everyDaemon,
 		}
 	}
 	memberBytes := func(n int) float64 { return float64(len(membership.MemberValue("daemon-0001", "zone-01", n))) }
@@ -39,21 +39,21 @@
 	members := []int{11, 22, perDaemon}
 
 	return []measure{
-		sent("every daemon", "probes and anti-entropy without changes", "member", "gossip", []int{25, 50, 100}, daemons, 1, idleGossip),
-		sent("every daemon", "member entries of 11,750 failures and restarts a day", "upstream", "gossip, one transfer each", members, perDaemon,
+		sent(everyDaemon, "probes and anti-entropy without changes", "member", "gossip", []int{25, 50, 100}, daemons, 1, idleGossip),
+		sent(everyDaemon, "member entries of 11,750 failures and restarts a day", "upstream", "gossip, one transfer each", members, perDaemon,
 			(restartsPerDay+750.0)/secondsPerDay, memberBytes),
-		sent("every daemon", "member entries for configuration versions, 50/s", "upstream", "gossip, one transfer each", members, perDaemon,
+		sent(everyDaemon, "member entries for configuration versions, 50/s", "upstream", "gossip, one transfer each", members, perDaemon,
 			versionAnnouncements, memberBytes),
-		sent("every daemon", "configuration changes, 6,700 a day", "team", "manifest in 64 buckets with parts", thirds(services), services, 1, changeBytes),
-		sent("every daemon", "lease, average of the fleet", "group", "promises of five seats", []int{16, 64, groups}, groups, 1.0/daemons,
+		sent(everyDaemon, "configuration changes, 6,700 a day", "team", "manifest in 64 buckets with parts", thirds(services), services, 1, changeBytes),
+		sent(everyDaemon, "lease, average of the fleet", "group", "promises of five seats", []int{16, 64, groups}, groups, 1.0/daemons,
 			func(n int) float64 { return float64(n) * leaseBytes() }),
-		sent("lease holder", "lease of its groups", "group held", "promises of five seats", []int{1, 2, 4}, 1, 1,
+		sent(leaseHolder, "lease of its groups", "group held", "promises of five seats", []int{1, 2, 4}, 1, 1,
 			func(n int) float64 { return float64(n) * leaseBytes() }),
-		sent("every daemon", "evidence of 43 upstreams, 4/s", "upstream", "peerpb.Evidence, frame per lease holder", members, perDaemon, reports,
+		sent(everyDaemon, "evidence of 43 upstreams, 4/s", "upstream", "peerpb.Evidence, frame per lease holder", members, perDaemon, reports,
 			func(n int) float64 { return evidenceBytes(n, 0) }),
-		sent("every daemon", "evidence of paths, 143 every 250 ms", "path", "peerpb.Evidence, frame per lease holder", []int{36, 72, 143}, 143, reports,
+		sent(everyDaemon, "evidence of paths, 143 every 250 ms", "path", "peerpb.Evidence, frame per lease holder", []int{36, 72, 143}, 143, reports,
 			func(n int) float64 { return evidenceBytes(0, n) }),
-		sent("every daemon", "tokens at 571 requests/s", "request/s", "holder per group, 256 groups", []int{143, 286, 571}, requestsPerDaemon, 1, tokenBytes),
+		sent(everyDaemon, "tokens at 571 requests/s", "request/s", "holder per group, 256 groups", []int{143, 286, 571}, requestsPerDaemon, 1, tokenBytes),
 	}
 }
 
@@ -154,7 +154,7 @@
 		seconds = 20
 		tick    = 5 * time.Millisecond
 	)
-	limits := map[string]tokens.Limit{}
+	limits := tokens.LimitMap{}
 	for i := range accountsPerGroup {
 		limits[accountName(i)] = tokens.Limit{Rate: 50, Burst: 100}
 	}
--- a/internal/bench/capacity/processor.go
+++ b/internal/bench/capacity/processor.go
@@ -20,17 +20,17 @@
 	timed := func(role, what, per, mechanism string, sizes []int, rate float64, cost func(int) float64) measure {
 		return measure{
 			role: role, what: what, unit: core, per: per, mechanism: mechanism, sizes: sizes,
-			target: float64(sizes[len(sizes)-1]), rate: rate, cost: cost, every: role == "every daemon" || role == "egress",
+			target: float64(sizes[len(sizes)-1]), rate: rate, cost: cost, every: role == everyDaemon || role == "egress",
 		}
 	}
 	reports := float64(time.Second / health.ReportInterval)
 
 	return []measure{
-		timed("every daemon", "key lookups, 571/s", "key", "keys.Table", thirds(accounts), requestsPerDaemon, keyLookup),
-		timed("every daemon", "route lookups, 571/s", "route", "routing.Table", thirds(routes), requestsPerDaemon, routeLookup),
-		timed("every daemon", "installing changes, 6,700 a day", "team", "publication.Load", thirds(services), float64(changesPerDay)/secondsPerDay,
+		timed(everyDaemon, "key lookups, 571/s", "key", "keys.Table", thirds(accounts), requestsPerDaemon, keyLookup),
+		timed(everyDaemon, "route lookups, 571/s", "route", "routing.Table", thirds(routes), requestsPerDaemon, routeLookup),
+		timed(everyDaemon, "installing changes, 6,700 a day", "team", "publication.Load", thirds(services), float64(changesPerDay)/secondsPerDay,
 			func(n int) float64 { return installation(n).Next.Seconds() }),
-		timed("every daemon", "building the route table, 6,700 a day", "route", "routing.New", thirds(routes), float64(changesPerDay)/secondsPerDay,
+		timed(everyDaemon, "building the route table, 6,700 a day", "route", "routing.New", thirds(routes), float64(changesPerDay)/secondsPerDay,
 			func(n int) float64 {
 				list := routeList(n)
 
@@ -38,9 +38,9 @@
 			}),
 		timed("egress", "attempts, 571/s", "known record", "attempt.Registry", thirds(65_536), requestsPerDaemon, attempts),
 		timed("egress", "queueing, 571/s", "waiting item", "queue.Queue", []int{4, 16, 64}, requestsPerDaemon, queueing),
-		timed("lease holder", "decisions of arbiters, 4/s", "upstream", "health.Arbiter", thirds(upstreams/groups), reports, decisions),
-		timed("lease holder", "decoding evidence, 4/s", "upstream", "peerpb.Evidence", thirds(upstreams/groups), reports, decodeEvidence),
-		timed("lease holder", "granting, 7,812 requests/s", "client account", "tokens.Granter", thirds(accountsPerGroup), requestsPerGroup, granting),
+		timed(leaseHolder, "decisions of arbiters, 4/s", "upstream", "health.Arbiter", thirds(upstreams/groups), reports, decisions),
+		timed(leaseHolder, "decoding evidence, 4/s", "upstream", "peerpb.Evidence", thirds(upstreams/groups), reports, decodeEvidence),
+		timed(leaseHolder, "granting, 7,812 requests/s", "client account", "tokens.Granter", thirds(accountsPerGroup), requestsPerGroup, granting),
 	}
 }
 
--- a/internal/bench/capacity/state.go
+++ b/internal/bench/capacity/state.go
@@ -33,7 +33,7 @@
 func stateMeasures() []measure {
 	every := func(what, per, mechanism string, target int, build func(int) any) measure {
 		return measure{
-			role: "every daemon", what: what, unit: heap, per: per, mechanism: mechanism, sizes: thirds(target),
+			role: everyDaemon, what: what, unit: heap, per: per, mechanism: mechanism, sizes: thirds(target),
 			target: float64(target), rate: 1, every: true,
 			cost: func(n int) float64 { return heapOf(func() any { return build(n) }) },
 		}
@@ -43,9 +43,9 @@
 	queued := every("queued items", "item", "queue per upstream, 16 items each", 16*perDaemon, queues)
 	queued.role = "egress"
 	arbiter := every("evidence and records", "upstream", "arbiter per service, 256 groups", upstreams/groups, arbiters)
-	arbiter.role, arbiter.every = "lease holder", false
+	arbiter.role, arbiter.every = leaseHolder, false
 	granter := every("buckets, batches, last requests", "client account", "granter per group, 256 groups", accountsPerGroup, granters)
-	granter.role, granter.every = "lease holder", false
+	granter.role, granter.every = leaseHolder, false
 
 	return []measure{
 		every("key table", "key", "keys.Table", accounts, keyTable),
@@ -53,12 +53,12 @@
 		every("replicated members", "daemon", "packed entries of gossip, 43 upstreams each", daemons, gossipMembers),
 		every("directory of upstreams", "daemon", "maps as in daemon/server, decoded members", daemons, directory),
 		{
-			role: "every daemon", what: "installed configuration", unit: heap, per: "team", every: true, rate: 1, target: services,
+			role: everyDaemon, what: "installed configuration", unit: heap, per: "team", every: true, rate: 1, target: services,
 			mechanism: "publication.Snapshot with parsed teams and files", sizes: thirds(services),
 			cost: func(n int) float64 { return float64(installation(n).HeapBytes) },
 		},
 		{
-			role: "every daemon", what: "route table", unit: heap, per: "route", every: true, rate: 1, target: routes,
+			role: everyDaemon, what: "route table", unit: heap, per: "route", every: true, rate: 1, target: routes,
 			mechanism: "routing.Table over the configuration's routes", sizes: thirds(routes),
 			cost: func(n int) float64 {
 				list := routeList(n)
@@ -67,7 +67,10 @@
 				return heapOf(func() any { return routing.New(list) })
 			},
 		},
-		every("limits of client accounts", "client account", "map per group in core/group", accounts, limitMaps),
+		{
+			role: everyDaemon, what: "groups and limits of client accounts", unit: heap, per: "client account", every: true, rate: 1, target: accounts,
+			mechanism: "core/group over the configuration's accounts", sizes: thirds(accounts), cost: holders,
+		},
 		egress, queued, arbiter, granter,
 	}
 }
@@ -173,22 +176,25 @@
 
 var methods = []string{"GET", "HEAD"}
 
-func limitMaps(n int) any {
-	limits := make([]map[string]tokens.Limit, groups)
-	for i := range limits {
-		limits[i] = map[string]tokens.Limit{}
-	}
-	for i := range n {
-		name := accountName(i)
-		limits[fleet.Group(name, groups)][name] = tokens.Limit{Rate: 50, Burst: 100}
-	}
-	all := make([]*group.Group, groups)
-	for i := range all {
-		all[i] = group.New(i, leaseMember(0), begin, rand.New(rand.NewPCG(1, 1))) //nolint:gosec // not for secrets
-		all[i].Configure(begin, limits[i])
+// holders returns the groups of a daemon that uses none of its accounts.
+func holders(n int) float64 {
+	list := make([]fleet.ClientAccount, n)
+	for i := range list {
+		list[i] = fleet.ClientAccount{Name: accountName(i), Rate: 50, Burst: 100}
 	}
+	accounts := fleet.NewClientAccounts(n)
+	accounts.Add(fleet.NewAccountList("Team", list))
+	defer runtime.KeepAlive(accounts)
+
+	return heapOf(func() any {
+		all := make([]*group.Group, groups)
+		for i := range all {
+			all[i] = group.New(i, leaseMember(0), begin, rand.New(rand.NewPCG(1, 1))) //nolint:gosec // not for secrets
+			all[i].Configure(begin, tokens.LimitsOf(accounts, i, groups))
+		}
 
-	return all
+		return all
+	})
 }
 
 func leaseMember(i int) lease.Member {
@@ -314,7 +320,7 @@
 }
 
 func newLoad(n int) *load {
-	limits := map[string]tokens.Limit{}
+	limits := tokens.LimitMap{}
 	for i := range n {
 		limits[accountName(i)] = tokens.Limit{Rate: 50, Burst: 100}
 	}
--- a/internal/bench/limits/fleet.go
+++ b/internal/bench/limits/fleet.go
@@ -45,7 +45,7 @@
 	Cut map[[2]string]bool
 	// StoreAway makes reads and writes of the store fail.
 	StoreAway bool
-	limits    map[string]tokens.Limit
+	limits    tokens.LimitMap
 	seats     *peerpb.Seats
 	version   uint64
 }
@@ -68,7 +68,7 @@
 }
 
 // NewFleet returns a fleet of count daemons that know the limits.
-func NewFleet(seed uint64, count int, limits map[string]tokens.Limit) *Fleet {
+func NewFleet(seed uint64, count int, limits tokens.LimitMap) *Fleet {
 	f := &Fleet{Random: rand.New(rand.NewPCG(seed, 1)), Cut: map[[2]string]bool{}, limits: limits}
 	for i := range count {
 		f.Start(i, 1, 1)
@@ -97,7 +97,7 @@
 }
 
 // Configure changes the limits; each daemon learns of it within a second.
-func (f *Fleet) Configure(limits map[string]tokens.Limit) {
+func (f *Fleet) Configure(limits tokens.LimitMap) {
 	f.limits = limits
 	for _, d := range f.Daemons {
 		f.After(time.Duration(f.Random.Int64N(int64(time.Second))), func() {
--- a/internal/bench/limits/limits_test.go
+++ b/internal/bench/limits/limits_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-var tested = map[string]tokens.Limit{
+var tested = tokens.LimitMap{
 	"large": {Rate: 200, Burst: 100}, "medium": {Rate: 40, Burst: 10}, "single": {Rate: 20, Burst: 1}, "rare": {Rate: 0.5, Burst: 1},
 }
 
@@ -96,7 +96,7 @@
 	t.Parallel()
 	admitted := 0
 	rapid.Check(t, func(t *rapid.T) {
-		limits := map[string]tokens.Limit{}
+		limits := tokens.LimitMap{}
 		for _, name := range []string{"large", "medium", "single", "rare"} {
 			limits[name] = tested[name]
 		}
@@ -141,7 +141,7 @@
 				clear(f.Cut)
 				f.StoreAway = !f.StoreAway
 			case 7:
-				changed := map[string]tokens.Limit{}
+				changed := tokens.LimitMap{}
 				for _, name := range slices.Sorted(maps.Keys(tested)) {
 					limit := tested[name]
 					if rapid.IntRange(0, 3).Draw(t, "lower") > 0 {
--- a/internal/bench/limits/measure.go
+++ b/internal/bench/limits/measure.go
@@ -219,7 +219,7 @@
 
 // Run measures the scenario.
 func (s Scenario) Run(seed uint64) Result {
-	limits := map[string]tokens.Limit{}
+	limits := tokens.LimitMap{}
 	for _, l := range s.Loads {
 		limits[l.Account] = l.Limit
 	}
--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -38,7 +38,7 @@
 	candidate *lease.Candidate
 	granter   *tokens.Granter
 	holder    *tokens.Holder
-	limits    map[string]tokens.Limit
+	limits    tokens.Limits
 	known     *peerpb.Lease
 	// asked rotates over the seats while the known holder does not answer.
 	asked     int
@@ -56,13 +56,13 @@
 		number: number, self: self, random: random, known: &peerpb.Lease{},
 		voter:     lease.NewVoter(number, self, now),
 		candidate: lease.NewCandidate(number, lease.Daemon{Name: self.Name, Incarnation: self.Incarnation}, random),
-		holder:    tokens.NewHolder(number, self.Incarnation, nil),
+		holder:    tokens.NewHolder(number, self.Incarnation, tokens.LimitMap{}),
+		limits:    tokens.LimitMap{},
 	}
 }
 
-// Configure installs the limits of the group's client accounts. The group
-// keeps the map.
-func (g *Group) Configure(now time.Time, limits map[string]tokens.Limit) {
+// Configure installs the limits of the group's client accounts.
+func (g *Group) Configure(now time.Time, limits tokens.Limits) {
 	g.limits = limits
 	g.holder.Configure(limits)
 	if g.granter != nil {
--- a/internal/core/group/group_test.go
+++ b/internal/core/group/group_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	self := lease.Member{Name: "daemon1", AvailabilityZone: "zone1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:7000"), Incarnation: 5}
 	g := New(0, self, begin, rand.New(rand.NewPCG(1, 1)))
-	g.Configure(begin, map[string]tokens.Limit{"club": {Rate: 10, Burst: 20}})
+	g.Configure(begin, tokens.LimitMap{"club": {Rate: 10, Burst: 20}})
 	g.Read(begin, begin, g.Propose(begin, []lease.Member{self}))
 	now := run(g, begin, 10*time.Second)
 	if !g.Held(now) {
--- a/internal/core/tokens/granter.go
+++ b/internal/core/tokens/granter.go
@@ -16,7 +16,7 @@
 	since   time.Time
 	swept   time.Time
 	batch   uint64
-	limits  map[string]Limit
+	limits  Limits
 	buckets map[string]*bucket
 	last    map[string]*lastRequest
 }
@@ -34,29 +34,28 @@
 
 // NewGranter returns the granter of a tenure that began at now. FirstBatch is
 // random, so that reports for batches of other tenures match none of its own.
-func NewGranter(now time.Time, firstBatch uint64, limits map[string]Limit) *Granter {
+func NewGranter(now time.Time, firstBatch uint64, limits Limits) *Granter {
 	return &Granter{since: now, swept: now, batch: firstBatch, limits: limits, buckets: map[string]*bucket{}, last: map[string]*lastRequest{}}
 }
 
-// Configure installs new limits. The granter keeps the map, which must not be
-// changed afterwards. An account that is new starts empty.
-func (g *Granter) Configure(now time.Time, limits map[string]Limit) {
-	for name := range limits {
-		if _, ok := g.limits[name]; !ok && g.buckets[name] == nil {
-			g.buckets[name] = newBucket(limits[name], now)
+// Configure installs new limits. An account that is new starts empty.
+func (g *Granter) Configure(now time.Time, limits Limits) {
+	for name, limit := range limits.All() {
+		if _, ok := g.limits.Get(name); !ok && g.buckets[name] == nil {
+			g.buckets[name] = newBucket(limit, now)
 		}
 	}
-	for name, limit := range g.limits {
-		if limits[name] == limit {
-			continue
+	for name, limit := range g.limits.All() {
+		if changed := limitOf(limits, name); changed != limit {
+			g.bucket(name).set(now, changed)
 		}
-		g.bucket(name).set(now, limits[name])
 	}
 	for name, b := range g.buckets {
-		if b.limit != limits[name] {
-			b.set(now, limits[name])
+		limit, ok := limits.Get(name)
+		if b.limit != limit {
+			b.set(now, limit)
 		}
-		if _, ok := limits[name]; !ok && len(b.batches) == 0 {
+		if !ok && len(b.batches) == 0 {
 			delete(g.buckets, name)
 		}
 	}
@@ -66,7 +65,7 @@
 func (g *Granter) bucket(name string) *bucket {
 	b := g.buckets[name]
 	if b == nil {
-		b = newBucket(g.limits[name], g.since)
+		b = newBucket(limitOf(g.limits, name), g.since)
 		g.buckets[name] = b
 	}
 
@@ -95,7 +94,7 @@
 	}
 	valid := min(TTL, left)
 	for _, d := range request.GetDemands() {
-		if _, ok := g.limits[d.GetClientAccount()]; ok && d.GetTokens() > 0 {
+		if _, ok := g.limits.Get(d.GetClientAccount()); ok && d.GetTokens() > 0 {
 			result.Grants = append(result.Grants, g.grant(now, from, d, valid))
 		}
 	}
--- a/internal/core/tokens/holder.go
+++ b/internal/core/tokens/holder.go
@@ -12,7 +12,7 @@
 	group       uint32
 	incarnation uint64
 	sequence    uint64
-	limits      map[string]Limit
+	limits      Limits
 	accounts    map[string]*account
 	active      []*account
 	pending     *peerpb.TokenRequest
@@ -23,16 +23,15 @@
 }
 
 // NewHolder returns a holder without tokens.
-func NewHolder(group int, incarnation uint64, limits map[string]Limit) *Holder {
+func NewHolder(group int, incarnation uint64, limits Limits) *Holder {
 	return &Holder{group: uint32(group), incarnation: incarnation, limits: limits, accounts: map[string]*account{}} //nolint:gosec // groups are small and not negative
 }
 
-// Configure installs new limits. The holder keeps the map, which must not be
-// changed afterwards.
-func (h *Holder) Configure(limits map[string]Limit) {
+// Configure installs new limits.
+func (h *Holder) Configure(limits Limits) {
 	h.limits = limits
 	for _, a := range h.active {
-		a.limit = limits[a.name]
+		a.limit = limitOf(limits, a.name)
 	}
 }
 
@@ -40,7 +39,7 @@
 // token is expected before the deadline. The waiter is resolved by a later
 // call of Answer or Expire, or removed by Cancel.
 func (h *Holder) Take(now time.Time, name string, deadline time.Time) (fleet.Take, *Waiter) {
-	limit, ok := h.limits[name]
+	limit, ok := h.limits.Get(name)
 	if !ok {
 		return fleet.Take{Outcome: fleet.UnknownClientAccount}, nil
 	}
--- a/internal/core/tokens/tokens_test.go
+++ b/internal/core/tokens/tokens_test.go
@@ -102,13 +102,13 @@
 		}, want: 0},
 		{name: "a lower limit applies to what is available", steps: func(g *Granter) uint32 {
 			g.Handle(at(time.Minute), "a", want(1, 4), long)
-			g.Configure(at(time.Minute), map[string]Limit{club: {Rate: 1, Burst: 6}})
+			g.Configure(at(time.Minute), LimitMap{club: {Rate: 1, Burst: 6}})
 
 			return granted(g.Handle(at(time.Minute), "b", want(1, 20), long))
 		}, want: 2},
 		{name: "an account that comes back is empty", steps: func(g *Granter) uint32 {
-			g.Configure(at(time.Minute), map[string]Limit{})
-			g.Configure(at(2*time.Minute), map[string]Limit{club: limit})
+			g.Configure(at(time.Minute), LimitMap{})
+			g.Configure(at(2*time.Minute), LimitMap{club: limit})
 
 			return granted(g.Handle(at(2*time.Minute+time.Second), "b", want(1, 20), long))
 		}, want: 10},
@@ -122,7 +122,7 @@
 			if test.limit.Burst > 0 {
 				l = test.limit
 			}
-			if got := test.steps(NewGranter(begin, 100, map[string]Limit{club: l})); got != test.want {
+			if got := test.steps(NewGranter(begin, 100, LimitMap{club: l})); got != test.want {
 				t.Errorf("got %d tokens, want %d", got, test.want)
 			}
 		})
@@ -132,7 +132,7 @@
 // Guards against grants that outlive the granter's lease.
 func TestGrantIsCutToTheLease(t *testing.T) {
 	t.Parallel()
-	g := NewGranter(begin, 100, map[string]Limit{club: {Rate: 10, Burst: 20}})
+	g := NewGranter(begin, 100, LimitMap{club: {Rate: 10, Burst: 20}})
 	got := g.Handle(at(time.Minute), "a", want(1, 5), 200*time.Millisecond).GetGrants()[0].GetValidNanoseconds()
 	if want := int64(200 * time.Millisecond); got != want {
 		t.Errorf("got a validity of %v, want %v", time.Duration(got), time.Duration(want))
@@ -160,7 +160,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			h := NewHolder(0, 1, map[string]Limit{club: {Rate: 10, Burst: 20}})
+			h := NewHolder(0, 1, LimitMap{club: {Rate: 10, Burst: 20}})
 			_, w := h.Take(begin, club, at(time.Minute))
 			request := h.Request(begin)
 			h.Cancel(w)
@@ -204,7 +204,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			h := NewHolder(0, 1, map[string]Limit{club: {Rate: 10, Burst: 20}})
+			h := NewHolder(0, 1, LimitMap{club: {Rate: 10, Burst: 20}})
 			_, w := h.Take(begin, club, at(test.deadline))
 			resolved := h.Answer(begin, h.Request(begin), test.answer)
 			if got := len(resolved) == 0; got != test.waits {
@@ -219,3 +219,34 @@
 		})
 	}
 }
+
+// Guards against client accounts that no group or two groups limit, and against
+// a granter that misses a change of a configuration's limits.
+func TestLimitsOfConfiguration(t *testing.T) {
+	t.Parallel()
+	accounts := func(rate float64) *fleet.ClientAccounts {
+		return fleet.ClientAccountsOf(fleet.ClientAccount{Name: club, Rate: rate, Burst: 20}, fleet.ClientAccount{Name: "Other", Rate: 1, Burst: 1})
+	}
+	all := map[string]int{}
+	for number := range 3 {
+		limits := LimitsOf(accounts(10), number, 3)
+		for name, limit := range limits.All() {
+			all[name]++
+			if got, ok := limits.Get(name); !ok || got != limit || number != fleet.Group(name, 3) {
+				t.Errorf("got %v and %v for %s in group %d, want %v", got, ok, name, number, limit)
+			}
+		}
+		if _, ok := limits.Get(club); ok != (number == fleet.Group(club, 3)) {
+			t.Errorf("got a limit of %s in group %d: %v", club, number, ok)
+		}
+	}
+	if len(all) != 2 || all[club] != 1 || all["Other"] != 1 {
+		t.Errorf("got %v, want each client account in one group", all)
+	}
+	own := fleet.Group(club, 3)
+	g := NewGranter(begin, 100, LimitsOf(accounts(10), own, 3))
+	g.Configure(at(time.Second), LimitsOf(accounts(5), own, 3))
+	if got := granted(g.Handle(at(2*time.Second), "a", want(1, 20), time.Hour)); got != 15 {
+		t.Errorf("got %d tokens after a second at 10/s and one at 5/s, want 15", got)
+	}
+}
