Keep a compact directory of upstreams

The directory of internal/daemon/server kept each upstream twice, in the decoded member and in a map per service, with its own copy of the service's name.

--- a/internal/bench/capacity/state.go
+++ b/internal/bench/capacity/state.go
@@ -24,6 +24,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/core/queue"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/routing"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/tokens"
+	"github.com/kumquatshelf/kumquatshelf/internal/daemon/directory"
 	daemon "github.com/kumquatshelf/kumquatshelf/internal/daemon/membership"
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
@@ -51,7 +52,7 @@
 		every("key table", "key", "keys.Table", accounts, keyTable),
 		every("replicated keys", "key", "packed entries of gossip", accounts, gossipKeys),
 		every("replicated members", "daemon", "packed entries of gossip, 43 upstreams each", daemons, gossipMembers),
-		every("directory of upstreams", "daemon", "maps as in daemon/server, decoded members", daemons, directory),
+		every("directory of upstreams", "daemon", "daemon/directory", daemons, directories),
 		{
 			role: everyDaemon, what: "installed configuration", unit: heap, per: "team", every: true, rate: 1, target: services,
 			mechanism: "publication.Snapshot with parsed teams and files", sizes: thirds(services),
@@ -139,26 +140,13 @@
 	return set
 }
 
-// directory has the maps of internal/daemon/server's directory.
-func directory(n int) any {
-	type located struct {
-		upstream fleet.Upstream
-		member   *daemon.Member
-	}
-	members := map[string]*daemon.Member{}
-	byService := map[string]map[string]located{}
+func directories(n int) any {
+	d := directory.New("zone-01", nil)
 	for i := range n {
-		member, _ := daemon.DecodeMember(memberEntry(i))
-		members[member.Name] = &member
-		for _, u := range member.Upstreams {
-			if byService[u.Service] == nil {
-				byService[u.Service] = map[string]located{}
-			}
-			byService[u.Service][u.Name] = located{u, &member}
-		}
+		d.Update(memberEntry(i))
 	}
 
-	return []any{members, byService}
+	return d
 }
 
 func routeList(n int) []*fleet.Route {
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/arbiter"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/configuration"
+	"github.com/kumquatshelf/kumquatshelf/internal/daemon/directory"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/egress"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/ingress"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/limits"
@@ -49,7 +50,7 @@
 	store      *platform.Client
 	audit      *trail.Trail
 	membership *membership.Membership
-	directory  *directory
+	directory  *directory.Directory
 	keys       *keys.Table
 	loader     *configuration.Loader
 	limits     *limits.Limiter
@@ -130,7 +131,7 @@
 	}, d.network, newRandom())
 	d.onClose(cleanUp)
 	d.metrics.Set("Membership", d.membership.Variables())
-	d.directory = newDirectory(d.settings.AvailabilityZone, d.membership.Status)
+	d.directory = directory.New(d.settings.AvailabilityZone, d.membership.Status)
 	d.handler = newHandler(d)
 	d.network.Start(d.membership, d.handler)
 
@@ -190,7 +191,7 @@
 		Services: d, Audit: auditPort{d},
 	})
 	d.onClose(cleanUp)
-	d.directory.decisions = d.arbiter.State
+	d.directory.Decisions = d.arbiter.State
 
 	return nil
 }
