Link the attempt records directly

Each finished record had two elements of container/list (48 bytes each) and its own copy of the ingress's name. The links are now in the record, which refers to its ingress.

TestAttemptsOverFaultyLinks passes as it is run, with 1,000 checks.

--- a/internal/core/attempt/registry.go
+++ b/internal/core/attempt/registry.go
@@ -3,7 +3,6 @@
 package attempt
 
 import (
-	"container/list"
 	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
@@ -56,7 +55,7 @@
 	Removed []fleet.AttemptID
 }
 
-type state int
+type state uint8
 
 const (
 	queued state = iota
@@ -64,13 +63,25 @@
 	finished
 )
 
+// record is one attempt. Up to Limits.Records of them are kept, so it refers to
+// the ingress instead of holding its name and incarnation.
 type record struct {
-	id      fleet.AttemptID
+	ingress  *ingress
+	sequence uint64
+	key      *keyRecord
+	// links are zero unless finished.
+	links   [orders]links
 	state   state
-	outcome fleet.Outcome
-	key     *keyRecord
-	// Positions among the finished records; nil unless finished.
-	all, own *list.Element
+	outcome uint8 // a fleet.Outcome
+}
+
+func (rec *record) id() fleet.AttemptID {
+	return fleet.AttemptID{Ingress: rec.ingress.name, Incarnation: rec.ingress.incarnation, Sequence: rec.sequence}
+}
+
+// hasNotRun reports whether the record is of an attempt that never runs.
+func (rec *record) hasNotRun() bool {
+	return rec.state == finished && rec.outcome == uint8(fleet.NotRun)
 }
 
 type ingress struct {
@@ -83,7 +94,7 @@
 	// record, an attempt at or below it may have run and must not start.
 	watermark uint64
 	records   map[uint64]*record
-	finished  list.List
+	finished  chain
 }
 
 // Registry tracks the attempts that reached this egress.
@@ -94,7 +105,7 @@
 	ingresses   map[string]*ingress
 	// detached holds started attempts of incarnations that were replaced.
 	detached map[fleet.AttemptID]*record
-	finished list.List
+	finished chain
 	records  int
 	keys     *keyTable
 }
@@ -125,7 +136,7 @@
 		return Admission{Verdict: WrongIncarnation}
 	}
 	if known := in.records[attempt.ID.Sequence]; known != nil {
-		if known.state == finished && known.outcome == fleet.NotRun {
+		if known.hasNotRun() {
 			return Admission{Verdict: Cancelled}
 		}
 
@@ -144,7 +155,7 @@
 }
 
 func (r *Registry) insert(in *ingress, attempt fleet.Attempt, now time.Time) Admission {
-	rec := &record{id: attempt.ID, state: queued}
+	rec := &record{ingress: in, sequence: attempt.ID.Sequence, state: queued}
 	admission := Admission{Verdict: Admitted}
 	// An idempotent request may run again by definition.
 	if attempt.IdempotencyKey != "" && !attempt.Idempotent {
@@ -221,7 +232,7 @@
 
 			return fleet.CancelNotRun, true
 		}
-		if rec.state == finished && rec.outcome == fleet.NotRun {
+		if rec.hasNotRun() {
 			return fleet.CancelNotRun, false
 		}
 
@@ -247,7 +258,7 @@
 
 		return
 	}
-	rec := &record{id: id}
+	rec := &record{ingress: in, sequence: id.Sequence}
 	in.records[id.Sequence] = rec
 	r.records++
 	r.finish(in, rec, outcome)
@@ -263,7 +274,7 @@
 		rec.key = nil
 	}
 	if in == nil {
-		delete(r.detached, rec.id)
+		delete(r.detached, rec.id())
 		r.records--
 
 		return
@@ -272,11 +283,11 @@
 }
 
 func (r *Registry) finish(in *ingress, rec *record, outcome fleet.Outcome) {
-	rec.state, rec.outcome = finished, outcome
-	rec.all = r.finished.PushBack(rec)
-	rec.own = in.finished.PushBack(rec)
+	rec.state, rec.outcome = finished, uint8(outcome) //nolint:gosec // outcomes are few
+	r.finished.push(rec)
+	in.finished.push(rec)
 	if in.finished.Len() > r.limits.RecordsPerIngress {
-		r.evict(in.finished.Front())
+		r.evict(in.finished.first)
 	}
 }
 
@@ -289,22 +300,21 @@
 	if r.finished.Len() == 0 {
 		return false
 	}
-	r.evict(r.finished.Front())
+	r.evict(r.finished.first)
 
 	return true
 }
 
-func (r *Registry) evict(element *list.Element) {
-	rec, _ := element.Value.(*record)
-	in := r.ingresses[rec.id.Ingress]
-	in.watermark = max(in.watermark, rec.id.Sequence)
+func (r *Registry) evict(rec *record) {
+	in := rec.ingress
+	in.watermark = max(in.watermark, rec.sequence)
 	r.drop(in, rec)
 }
 
 func (r *Registry) drop(in *ingress, rec *record) {
-	r.finished.Remove(rec.all)
-	in.finished.Remove(rec.own)
-	delete(in.records, rec.id.Sequence)
+	r.finished.remove(rec)
+	in.finished.remove(rec)
+	delete(in.records, rec.sequence)
 	r.records--
 }
 
--- a/internal/core/attempt/session.go
+++ b/internal/core/attempt/session.go
@@ -60,6 +60,7 @@
 		session:     session.Number,
 		open:        true,
 		records:     map[uint64]*record{},
+		finished:    chain{order: ownOrder},
 	}
 }
 
@@ -67,7 +68,7 @@
 	var removed []fleet.AttemptID
 	for _, rec := range in.records {
 		if rec.state == queued {
-			removed = append(removed, rec.id)
+			removed = append(removed, rec.id())
 		}
 	}
 	for _, id := range removed {
@@ -82,12 +83,14 @@
 func (r *Registry) detach(in *ingress) {
 	for _, rec := range in.records {
 		if rec.state == started {
-			r.detached[rec.id] = rec
+			r.detached[rec.id()] = rec
 
 			continue
 		}
 		r.drop(in, rec)
 	}
+	// The detached records keep the ingress, but need nothing else of it.
+	in.records = nil
 }
 
 // trackable reports whether one more ingress can be tracked. When the table is
