--- a/internal/config/teamfile/combine.go
+++ b/internal/config/teamfile/combine.go
@@ -81,15 +81,15 @@
 	for _, p := range parsed {
 		services += len(p.Team.Services)
 		routes += len(p.Team.Routes)
-		accounts += len(p.Team.ClientAccounts)
+		accounts += p.Team.ClientAccounts.Len()
 	}
 
 	return &combiner{
 		configuration: &fleet.Configuration{
 			Version:        version,
 			Services:       make(map[string]fleet.Service, services),
-			Routes:         make([]fleet.Route, 0, routes),
-			ClientAccounts: make(map[string]fleet.ClientAccount, accounts),
+			Routes:         make([]*fleet.Route, 0, routes),
+			ClientAccounts: fleet.NewClientAccounts(accounts),
 		},
 		slots:      slots,
 		files:      parsed,
@@ -137,15 +137,12 @@
 				fmt.Sprintf("at most the %d slots announced", announced))
 		}
 	}
-	for _, account := range team.ClientAccounts {
-		before := len(c.configuration.ClientAccounts)
-		if c.configuration.ClientAccounts[account.Name] = account; len(c.configuration.ClientAccounts) == before {
-			section := kindClientAccount + " " + account.Name
-			c.reportTwice(index, c.accountOwner(account.Name), section, section, "")
-		}
+	for _, account := range c.configuration.ClientAccounts.Add(team.ClientAccounts) {
+		section := kindClientAccount + " " + account.Name
+		c.reportTwice(index, c.accountOwner(account.Name), section, section, "")
 	}
-	for _, route := range team.Routes {
-		c.defineRoute(index, route)
+	for i := range team.Routes {
+		c.defineRoute(index, &team.Routes[i])
 	}
 }
 
@@ -153,11 +150,17 @@
 // looked up only for duplicates, which saves a map of all accounts.
 func (c *combiner) accountOwner(name string) int {
 	return slices.IndexFunc(c.files, func(p Parsed) bool {
-		return slices.ContainsFunc(p.Team.ClientAccounts, func(a fleet.ClientAccount) bool { return a.Name == name })
+		for i := range p.Team.ClientAccounts.Len() {
+			if p.Team.ClientAccounts.At(i).Name == name {
+				return true
+			}
+		}
+
+		return false
 	})
 }
 
-func (c *combiner) defineRoute(index int, route fleet.Route) {
+func (c *combiner) defineRoute(index int, route *fleet.Route) {
 	id := routeName{route.Service, route.Name}
 	if earlier, ok := c.routeNames[id]; ok {
 		section := kindRoute + " " + route.Name
@@ -186,7 +189,7 @@
 	}
 	first, _ := slices.BinarySearch(c.owners, index)
 	for i := first; i < len(c.owners) && c.owners[i] == index; i++ {
-		route := &c.configuration.Routes[i]
+		route := c.configuration.Routes[i]
 		if route.Host == "" || route.PathPrefix == "" {
 			continue // reported by Parse
 		}
--- a/internal/daemon/server/directory_test.go
+++ b/internal/daemon/directory/candidates_test.go
@@ -1,4 +1,4 @@
-package server
+package directory
 
 import (
 	"testing"
@@ -64,8 +64,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				d := newDirectory("a", func(string) (gossip.Status, bool) { return tt.status, true })
-				d.decisions = func(_, upstream string, _ time.Time) arbiter.Decision {
+				d := New("a", func(string) (gossip.Status, bool) { return tt.status, true })
+				d.Decisions = func(_, upstream string, _ time.Time) arbiter.Decision {
 					if upstream == tt.ejected {
 						return arbiter.Decision{State: health.Ejected}
 					}
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -221,7 +221,7 @@
 	}
 
 	name, status := in.Keys.Check(keys.HashOf(key))
-	account, known := configuration.ClientAccounts[name]
+	account, known := configuration.ClientAccounts.Get(name)
 
 	if status == keys.Absent && !contact.Informed() {
 		return fleet.ClientAccount{}, fleet.Refuse(fleet.ReasonNotReady, "the daemon has not learned of any keys yet")
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -103,12 +103,12 @@
 	in.Configure(&fleet.Configuration{
 		Version:  1,
 		Services: map[string]fleet.Service{"S": {Name: "S", Deadline: time.Second}},
-		Routes: []fleet.Route{
+		Routes: []*fleet.Route{
 			{Name: "read", Service: "S", PathPrefix: "/read", Methods: []string{"GET"}, Idempotent: true},
 			{Name: "book", Service: "S", PathPrefix: "/book", Methods: []string{"POST"}},
 			{Name: "open", Service: "S", PathPrefix: "/open", Methods: []string{"GET"}, Idempotent: true, Open: true},
 		},
-		ClientAccounts: map[string]fleet.ClientAccount{"Club": {Name: "Club", Rate: 10, Burst: 10}},
+		ClientAccounts: fleet.ClientAccountsOf(fleet.ClientAccount{Name: "Club", Rate: 10, Burst: 10}),
 	})
 
 	return in
--- a/internal/daemon/limits/limits.go
+++ b/internal/daemon/limits/limits.go
@@ -112,16 +112,9 @@
 
 // Configure installs the limits of a configuration.
 func (l *Limiter) Configure(configuration *fleet.Configuration) {
-	limits := make([]map[string]tokens.Limit, len(l.slots))
-	for i := range limits {
-		limits[i] = map[string]tokens.Limit{}
-	}
-	for name, account := range configuration.ClientAccounts {
-		limits[fleet.Group(name, len(l.slots))][name] = tokens.Limit{Rate: account.Rate, Burst: account.Burst}
-	}
 	for i, s := range l.slots {
 		s.mu.Lock()
-		s.group.Configure(time.Now(), limits[i])
+		s.group.Configure(time.Now(), tokens.LimitsOf(configuration.ClientAccounts, i, len(l.slots)))
 		s.mu.Unlock()
 	}
 }
--- a/internal/daemon/limits/limits_test.go
+++ b/internal/daemon/limits/limits_test.go
@@ -116,9 +116,9 @@
 	return entry, ok
 }
 
-var configuration = &fleet.Configuration{Version: 1, ClientAccounts: map[string]fleet.ClientAccount{
-	"club": {Name: "club", Rate: 50, Burst: 100}, "single": {Name: "single", Rate: 0.5, Burst: 1},
-}}
+var configuration = &fleet.Configuration{Version: 1, ClientAccounts: fleet.ClientAccountsOf(
+	fleet.ClientAccount{Name: "club", Rate: 50, Burst: 100}, fleet.ClientAccount{Name: "single", Rate: 0.5, Burst: 1},
+)}
 
 func newPlatform() *platform {
 	return &platform{daemons: map[string]*daemon{}, values: map[string][]byte{}, version: map[string]uint64{}, entries: map[string]fleet.Entry{}}
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -22,6 +22,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/arbiter"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/configuration"
+	"github.com/kumquatshelf/kumquatshelf/internal/daemon/directory"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/egress"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/ingress"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/limits"
@@ -52,7 +53,7 @@
 	store      *platform.Client
 	audit      *trail.Trail
 	membership *membership.Membership
-	directory  *directory
+	directory  *directory.Directory
 	keys       *keys.Table
 	loader     *configuration.Loader
 	limits     *limits.Limiter
@@ -133,7 +134,7 @@
 	}, d.network, newRandom())
 	d.onClose(cleanUp)
 	d.metrics.Set("Membership", d.membership.Variables())
-	d.directory = newDirectory(d.settings.AvailabilityZone, d.membership.Status)
+	d.directory = directory.New(d.settings.AvailabilityZone, d.membership.Status)
 	d.handler = newHandler(d)
 	d.network.Start(d.membership, d.handler)
 
@@ -193,7 +194,7 @@
 		Services: d, Audit: auditPort{d},
 	})
 	d.onClose(cleanUp)
-	d.directory.decisions = d.arbiter.State
+	d.directory.Decisions = d.arbiter.State
 
 	losses := d.arbiter.Losses()
 	counters := new(expvar.Map).Init()
