--- a/internal/bench/health/section.go
+++ b/internal/bench/health/section.go
@@ -21,10 +21,12 @@
 )
 
 // LimaThreshold and VillalobosThreshold are the DetectionThreshold chosen from
-// the curve for each deployment, in nats.
+// the curve for each deployment, in nats: for Lima the lowest with less than
+// one false ejection per hour, for Villalobos the lowest without any, also at
+// four times the model's rate of background failures.
 const (
-	LimaThreshold       = 8
-	VillalobosThreshold = 8
+	LimaThreshold       = 5
+	VillalobosThreshold = 12
 )
 
 var thresholds = []float64{3, 4, 5, 6, 8, 10, 12, 16, 20, 24}
