Use the shared store types in the limiter

Cause: the limiter declared its own outcomes of store calls, and the server translated between the two. Change: the port takes fleet.Object and fleet.StoreOutcome; the translation is gone. Result: go test -race ./internal/daemon/limits passes.

--- a/internal/daemon/limits/limits_test.go
+++ b/internal/daemon/limits/limits_test.go
@@ -48,38 +48,38 @@
 	return to.limiter.Handle(ctx, d.member.Name, frame)
 }
 
-func (p *platform) Get(_ context.Context, _, name string) ([]byte, uint64, StoreOutcome) {
+func (p *platform) Get(_ context.Context, kind, name string) (fleet.Object, fleet.StoreOutcome) {
 	time.Sleep(time.Millisecond)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case p.away:
-		return nil, 0, Unavailable
+		return fleet.Object{}, fleet.StoreUnavailable
 	case p.version[name] == 0:
-		return nil, 0, NotFound
+		return fleet.Object{}, fleet.StoreNotFound
 	}
 
-	return p.values[name], p.version[name], OK
+	return fleet.Object{Kind: kind, Name: name, Version: p.version[name], Value: p.values[name]}, fleet.StoreOK
 }
 
-func (p *platform) Put(_ context.Context, _, name string, value []byte, version uint64) StoreOutcome {
+func (p *platform) Put(_ context.Context, object fleet.Object, condition fleet.Condition) fleet.StoreOutcome {
 	time.Sleep(time.Millisecond)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case p.away:
-		return Unavailable
-	case p.version[name] != version:
-		return Conflict
+		return fleet.StoreUnavailable
+	case p.version[object.Name] != condition.Version:
+		return fleet.StoreConflict
 	}
 	p.puts++
-	p.values[name] = value
-	p.version[name]++
+	p.values[object.Name] = object.Value
+	p.version[object.Name]++
 	if p.lose {
-		return Ambiguous
+		return fleet.StoreAmbiguous
 	}
 
-	return OK
+	return fleet.StoreOK
 }
 
 func (p *platform) counts() (puts, calls int) {
--- a/internal/daemon/limits/ports.go
+++ b/internal/daemon/limits/ports.go
@@ -18,30 +18,10 @@
 	Call(ctx context.Context, daemon string, frame *peerpb.Frame) (*peerpb.Frame, bool)
 }
 
-// StoreOutcome is the result of a call of the store.
-type StoreOutcome int
-
-// Outcomes of calls of the store.
-const (
-	// OK means that the call took effect.
-	OK StoreOutcome = iota
-	// NotFound means that there is no such object.
-	NotFound
-	// Conflict means that the condition of a put did not hold.
-	Conflict
-	// Unavailable means that the call did not take effect.
-	Unavailable
-	// Ambiguous means that a put may have taken effect.
-	Ambiguous
-)
-
 // Store reads and conditionally replaces objects of Kind.
 type Store interface {
-	// Get returns the value and the version of the object with a name.
-	Get(ctx context.Context, kind, name string) (value []byte, version uint64, outcome StoreOutcome)
-	// Put replaces the object of the given version, or creates it if the
-	// version is 0.
-	Put(ctx context.Context, kind, name string, value []byte, version uint64) StoreOutcome
+	Get(ctx context.Context, kind, name string) (fleet.Object, fleet.StoreOutcome)
+	Put(ctx context.Context, object fleet.Object, condition fleet.Condition) fleet.StoreOutcome
 }
 
 // Members tells which daemons are alive.
--- a/internal/daemon/limits/slot.go
+++ b/internal/daemon/limits/slot.go
@@ -174,8 +174,10 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
 	defer cancel()
-	if outcome := l.store.Put(ctx, Kind, s.key(), value, version); outcome == OK || outcome == Conflict || outcome == Ambiguous {
+	switch l.store.Put(ctx, fleet.Object{Kind: Kind, Name: s.key(), Value: value}, fleet.IfVersion(version)) {
+	case fleet.StoreOK, fleet.StoreConflict, fleet.StoreAmbiguous:
 		s.read(time.Now())
+	case fleet.StoreUnavailable, fleet.StoreNotFound, fleet.StoreRejected:
 	}
 }
 
@@ -183,22 +185,21 @@
 func (s *slot) read(sent time.Time) (*peerpb.Seats, uint64, bool) {
 	ctx, cancel := context.WithTimeout(s.limiter.ctx, storeTimeout)
 	defer cancel()
-	value, version, outcome := s.limiter.store.Get(ctx, Kind, s.key())
+	object, outcome := s.limiter.store.Get(ctx, Kind, s.key())
 	var seats *peerpb.Seats
 	switch outcome {
-	case OK:
+	case fleet.StoreOK:
 		seats = &peerpb.Seats{}
-		if proto.Unmarshal(value, seats) != nil {
+		if proto.Unmarshal(object.Value, seats) != nil {
 			return nil, 0, false
 		}
-	case NotFound:
-		version = 0
-	default:
+	case fleet.StoreNotFound:
+	case fleet.StoreUnavailable, fleet.StoreConflict, fleet.StoreAmbiguous, fleet.StoreRejected:
 		return nil, 0, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.group.Read(time.Now(), sent, seats)
 
-	return seats, version, true
+	return seats, object.Version, true
 }
--- a/internal/daemon/server/limits.go
+++ b/internal/daemon/server/limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/kumquatshelf/kumquatshelf/internal/adapter/platform"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/gossip"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/lease"
@@ -17,7 +16,7 @@
 		AvailabilityZone: d.settings.AvailabilityZone, PeerAddress: d.settings.PeerAddress,
 	}
 
-	limiter, cleanUp := limits.New(self, groups, d.network, seatStore{d.store}, liveMembers{d}, entriesPort{d}, newRandom())
+	limiter, cleanUp := limits.New(self, groups, d.network, d.store, liveMembers{d}, entriesPort{d}, newRandom())
 	d.limits = limiter
 	d.onClose(cleanUp)
 }
@@ -33,39 +32,6 @@
 	d.limits.Stop(ctx)
 }
 
-// seatStore adapts the store for the seats of the limits.
-type seatStore struct {
-	client *platform.Client
-}
-
-// Get returns the value and the version of an object.
-func (s seatStore) Get(ctx context.Context, kind, name string) ([]byte, uint64, limits.StoreOutcome) {
-	object, outcome := s.client.Get(ctx, kind, name)
-
-	return object.Value, object.Version, seatOutcome(outcome)
-}
-
-// Put replaces the object of the given version, or creates it if that is 0.
-func (s seatStore) Put(ctx context.Context, kind, name string, value []byte, version uint64) limits.StoreOutcome {
-	return seatOutcome(s.client.Put(ctx, fleet.Object{Kind: kind, Name: name, Value: value}, fleet.Condition{Version: version}))
-}
-
-func seatOutcome(outcome fleet.StoreOutcome) limits.StoreOutcome {
-	switch outcome {
-	case fleet.StoreOK:
-		return limits.OK
-	case fleet.StoreNotFound:
-		return limits.NotFound
-	case fleet.StoreConflict:
-		return limits.Conflict
-	case fleet.StoreAmbiguous:
-		return limits.Ambiguous
-	case fleet.StoreUnavailable, fleet.StoreRejected:
-	}
-
-	return limits.Unavailable
-}
-
 // liveMembers lists the members that are not faulty or leaving.
 type liveMembers struct {
 	*Server
