--- a/internal/bench/capacity/store.go
+++ b/internal/bench/capacity/store.go
@@ -28,6 +28,10 @@
 	// outageLength lets the waiting daemons reach their longest retry interval.
 	outageLength = 12 * time.Second
 	storeTeams   = 40
+	// wholeReads is the reads of a daemon that reads the whole configuration from
+	// the store: the manifest, its 64 buckets and the file of each team. A
+	// publisher reads the same.
+	wholeReads = 1 + 64 + services
 	// startWindow is in what time the daemons that start have to have their
 	// configuration: the time in which a change has to be in effect.
 	startWindow = 17.0
@@ -40,13 +44,14 @@
 	fleetWide := func(what, per, mechanism string, sizes []int, target, rate float64, cost func(int) float64) measure {
 		return measure{role: "store", what: what, unit: reads, per: per, mechanism: mechanism, sizes: sizes, target: target, rate: rate, cost: cost}
 	}
+	// With 400 teams or more, all 64 buckets of the manifest are in use.
 	perSecond := float64(changesPerDay) / secondsPerDay
 
 	return []measure{
 		fleetWide("ordinary: watches (derived)", "relay", "two relays per zone, two watches each", clients, relays, watchesPerSecond,
 			func(n int) float64 { return float64(n) }),
 		fleetWide("ordinary: a change read by relays, 6,700 a day", "relay", "publication.Load", clients, relays, perSecond, changeReads),
-		fleetWide("ordinary: publications, 6,700 a day", "team", "publisher reads the whole configuration", []int{25, 50, 100}, services, perSecond, publicationReads),
+		fleetWide("ordinary: publications, 6,700 a day", "team", "publisher reads the whole configuration", []int{400, 800, 1600}, services, perSecond, publicationReads),
 		fleetWide("ordinary: seats (derived)", "group", "each of five seats every 10 min", []int{16, 64, groups}, groups, 1/lease.ReadInterval.Seconds(),
 			func(n int) float64 { return float64(n * lease.MaxSeats) }),
 		fleetWide("a zone returns: configuration within 17 s", "daemon", "peers first", clients, daemons/zones, 1/startWindow,
@@ -57,6 +62,8 @@
 			func(n int) float64 { return float64(n * lease.MaxSeats) }),
 		fleetWide("back after an outage: configuration of 40 teams within 17 s", "daemon", "peers first, then the store", clients, daemons, 1/startWindow,
 			func(n int) float64 { return waiting(n).calls }),
+		fleetWide("back after an outage: configuration of 6,700 teams within 17 s (scaled)", "daemon", "peers first, then the store", clients, daemons, 1/startWindow,
+			func(n int) float64 { return waiting(n).calls * wholeReads / publicationReads(storeTeams) }),
 		fleetWide("new fleet: groups without seats (derived)", "daemon", "group.ReadDue, 256 groups once a second", clients, daemons, groups,
 			func(n int) float64 { return float64(n) }),
 	}
