Measure the cost of the request path

Processor time and heap per request come from the daemons' own variables, for which the daemon now publishes its rusage.

net/http's client was ruled out for the callers: its two goroutines per connection delay the direct call as well. Arrivals are timed by nanosleep, because the runtime's timers round up to a millisecond when a thread is idle.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -4,19 +4,29 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/health"
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/path"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/table"
 )
 
 type arguments struct {
 	Seeds int `arg:"--seeds" default:"4" help:"runs per measure, each with its own fixed seed"`
+
+	Path  bool          `arg:"--path" help:"measure the request path over separate processes instead"`
+	Bin   string        `arg:"--bin" default:"bin" help:"with --path: directory with the programs"`
+	Phase time.Duration `arg:"--phase" default:"3s" help:"with --path: time of each phase"`
 }
 
 // sections returns all groups of measures in the order of the table.
-func sections() []table.Section {
+func sections(args arguments) []table.Section {
+	if args.Path {
+		return []table.Section{path.Section(path.Options{Bin: args.Bin, Length: args.Phase})}
+	}
+
 	return []table.Section{health.Section}
 }
 
@@ -26,7 +36,7 @@
 	if args.Seeds < 1 {
 		parser.Fail("--seeds must be at least 1")
 	}
-	if err := table.Write(os.Stdout, sections(), args.Seeds); err != nil {
+	if err := table.Write(os.Stdout, sections(args), args.Seeds); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/cmd/standin/upstreams.go
+++ b/cmd/standin/upstreams.go
@@ -21,6 +21,7 @@
 	Services    string         `arg:"--services,required" help:"names of the services, separated by commas"`
 	Slots       int            `arg:"--slots" default:"3" help:"requests that each runs at once"`
 	ServiceTime time.Duration  `arg:"--servicetime" default:"10ms" help:"median time of a request"`
+	Sigma       float64        `arg:"--sigma" default:"0.3" help:"spread of the log-normal time of a request; 0 is constant"`
 }
 
 func (c *upstreamsCommand) run(ctx context.Context) error {
@@ -31,7 +32,7 @@
 
 		one, cleanUp, err := upstream.New(upstream.Settings{
 			Name: name, Service: service, Address: netip.MustParseAddrPort("127.0.0.1:0"), Daemon: c.Daemon,
-			Slots: c.Slots, ServiceTime: c.ServiceTime, Sigma: 0.3, Seed: xxhash.Sum64String(name),
+			Slots: c.Slots, ServiceTime: c.ServiceTime, Sigma: c.Sigma, Seed: xxhash.Sum64String(name),
 		})
 		if err != nil {
 			return fmt.Errorf("start upstream %s: %w", name, err)
--- a/internal/adapter/caller/front_test.go
+++ b/internal/adapter/caller/front_test.go
@@ -34,7 +34,7 @@
 	return fleet.Reply{Outcome: fleet.Ran, Answer: fleet.Answer{Status: http.StatusOK, Header: header, Body: io.NopCloser(body)}}
 }
 
-func newFront(t *testing.T, f *forwarder) *Front {
+func newFront(t testing.TB, f *forwarder) *Front {
 	t.Helper()
 
 	front, cleanUp := New(netip.MustParseAddrPort("127.0.0.1:0"), f,
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -75,6 +75,8 @@
 		settings: s, log: log, metrics: metrics, keys: keys.NewTable(), restart: make(chan struct{}),
 	}
 
+	metrics.Set("Process", processVariables())
+
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cleanUps = append(d.cleanUps, func() {
 		cancel()
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -41,6 +41,11 @@
 	Slots int
 	// ServiceTime is the mean time that an upstream takes per request.
 	ServiceTime time.Duration
+	// FixedServiceTime makes every request take exactly ServiceTime.
+	FixedServiceTime bool
+	// DaemonsWithUpstreams is the number of daemons, from the first, that have
+	// upstreams beside them. 0 means all.
+	DaemonsWithUpstreams int
 }
 
 // Daemon is one daemon and the stand-in upstreams beside it.
@@ -109,31 +114,54 @@
 		return err
 	}
 
-	for _, d := range c.Daemons {
+	for i, d := range c.Daemons {
 		if err := c.StartDaemon(d); err != nil {
 			return err
 		}
 
-		d.upstreams, err = c.run("upstreams-"+d.Name, "standin", "upstreams",
-			"--prefix", d.Name, "--daemon", d.Local.String(), "--control", d.Control.String(),
-			"--slots", strconv.Itoa(c.plan.Slots), "--servicetime", c.plan.ServiceTime.String(),
-			"--services", strings.Join(c.plan.Services, ","))
-		if err != nil {
+		if c.plan.DaemonsWithUpstreams > 0 && i >= c.plan.DaemonsWithUpstreams {
+			continue
+		}
+
+		if err := c.startUpstreams(d); err != nil {
 			return err
 		}
 	}
 
 	for _, d := range c.Daemons {
-		for _, address := range []netip.AddrPort{d.Operator, d.Control} {
-			if err := waitFor(ctx, address); err != nil {
-				return fmt.Errorf("daemon %s: %w", d.Name, err)
-			}
+		if err := waitFor(ctx, d.Operator); err != nil {
+			return fmt.Errorf("daemon %s: %w", d.Name, err)
+		}
+
+		if d.upstreams == nil {
+			continue
+		}
+
+		if err := waitFor(ctx, d.Control); err != nil {
+			return fmt.Errorf("upstreams of %s: %w", d.Name, err)
 		}
 	}
 
 	return nil
 }
 
+func (c *Cluster) startUpstreams(d *Daemon) error {
+	arguments := []string{
+		"upstreams", "--prefix", d.Name, "--daemon", d.Local.String(), "--control", d.Control.String(),
+		"--slots", strconv.Itoa(c.plan.Slots), "--servicetime", c.plan.ServiceTime.String(),
+		"--services", strings.Join(c.plan.Services, ","),
+	}
+	if c.plan.FixedServiceTime {
+		arguments = append(arguments, "--sigma", "0")
+	}
+
+	var err error
+
+	d.upstreams, err = c.run("upstreams-"+d.Name, "standin", arguments...)
+
+	return err
+}
+
 // StartDaemon starts a daemon that is not running.
 func (c *Cluster) StartDaemon(d *Daemon) error {
 	if err := c.writeSettings(d); err != nil {
--- a/internal/standin/cluster/control.go
+++ b/internal/standin/cluster/control.go
@@ -12,9 +12,9 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/standin/upstream"
 )
 
-// upstreamAddresses returns where the upstreams beside a daemon listen, by
+// UpstreamAddresses returns where the upstreams beside a daemon listen, by
 // service.
-func (d *Daemon) upstreamAddresses(ctx context.Context) (map[string]netip.AddrPort, error) {
+func (d *Daemon) UpstreamAddresses(ctx context.Context) (map[string]netip.AddrPort, error) {
 	var addresses map[string]netip.AddrPort
 
 	if err := getJSON(ctx, "http://"+d.Control.String()+"/", &addresses); err != nil {
@@ -26,7 +26,7 @@
 
 // SetMode changes how the upstream of a service beside the daemon behaves.
 func (d *Daemon) SetMode(ctx context.Context, service string, mode upstream.Mode) error {
-	addresses, err := d.upstreamAddresses(ctx)
+	addresses, err := d.UpstreamAddresses(ctx)
 	if err != nil {
 		return err
 	}
@@ -66,7 +66,7 @@
 	ran = make(map[string]int)
 
 	for _, d := range c.Daemons {
-		addresses, err := d.upstreamAddresses(ctx)
+		addresses, err := d.UpstreamAddresses(ctx)
 		if err != nil {
 			return nil, 0, err
 		}
