--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -16,15 +16,16 @@
 type arguments struct {
 	Seeds int `arg:"--seeds" default:"4" help:"runs per measure, each with its own fixed seed"`
 
-	Path  bool          `arg:"--path" help:"measure the request path over separate processes instead"`
-	Bin   string        `arg:"--bin" default:"bin" help:"with --path: directory with the programs"`
-	Phase time.Duration `arg:"--phase" default:"3s" help:"with --path: time of each phase"`
+	Path       bool          `arg:"--path" help:"measure the request path over separate processes instead"`
+	Bin        string        `arg:"--bin" default:"bin" help:"with --path: directory with the programs"`
+	Phase      time.Duration `arg:"--phase" default:"3s" help:"with --path: time of each phase"`
+	Saturation float64       `arg:"--saturation" help:"with --path: rate per second of which the levels are shares, to compare programs at equal rates"`
 }
 
 // sections returns all groups of measures in the order of the table.
 func sections(args arguments) []table.Section {
 	if args.Path {
-		return []table.Section{path.Section(path.Options{Bin: args.Bin, Length: args.Phase})}
+		return []table.Section{path.Section(path.Options{Bin: args.Bin, Length: args.Phase, Saturation: args.Saturation})}
 	}
 
 	return []table.Section{health.Section}
--- a/internal/bench/path/path.go
+++ b/internal/bench/path/path.go
@@ -23,6 +23,9 @@
 	Bin string
 	// Length is the time of each phase.
 	Length time.Duration
+	// Saturation is the rate of which the levels are shares, in requests per
+	// second. 0 means the one that the first phase finds.
+	Saturation float64
 }
 
 // way is one way from callers to the upstream.
@@ -82,6 +85,9 @@
 	}
 
 	saturation := b.saturation()
+	if b.Saturation > 0 {
+		saturation = b.Saturation
+	}
 
 	for _, share := range shares {
 		if err := b.level(ctx, share, saturation, seeds); err != nil {
