Leave out work that most requests do not need

Cause: the front took a buffer of 512 bytes for the body of a request without one; the egress started a timer to wait for a slot also when one was free; a daemon's own ingress copied the header that the upstream's client copies again.

Change: no buffer without a body, no timer when the attempt was decided on admission, and one copy of the header. The Caller port now says that the header is shared.

--- a/internal/adapter/caller/front.go
+++ b/internal/adapter/caller/front.go
@@ -174,16 +174,9 @@
 		request.Deadline = time.Now().Add(timeout)
 	}
 
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.bounds.MaxBodyBytes))
-
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return request, fleet.Refuse(fleet.ReasonTooLarge,
-			"the body is larger than "+strconv.FormatInt(f.bounds.MaxBodyBytes, 10)+" bytes")
-	}
-
-	if err != nil {
-		return request, fleet.Refuse(fleet.ReasonBadRequest, "the body ended early")
+	body, refusal := f.readBody(w, r)
+	if refusal.Reason != fleet.ReasonNone {
+		return request, refusal
 	}
 
 	removeHopHeaders(r.Header)
@@ -196,3 +189,23 @@
 
 	return request, fleet.Reply{}
 }
+
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, fleet.Reply) {
+	if r.Body == http.NoBody {
+		return nil, fleet.Reply{}
+	}
+
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.bounds.MaxBodyBytes))
+
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fleet.Refuse(fleet.ReasonTooLarge,
+			"the body is larger than "+strconv.FormatInt(f.bounds.MaxBodyBytes, 10)+" bytes")
+	}
+
+	if err != nil {
+		return nil, fleet.Refuse(fleet.ReasonBadRequest, "the body ended early")
+	}
+
+	return body, fleet.Reply{}
+}
--- a/internal/daemon/egress/egress.go
+++ b/internal/daemon/egress/egress.go
@@ -26,7 +26,8 @@
 	maxDrains = 16_384
 )
 
-// Caller calls a local upstream. Its context bounds the call and the body.
+// Caller calls a local upstream. Its context bounds the call and the body. It
+// does not modify the attempt's header, which attempts of one request share.
 type Caller interface {
 	Call(ctx context.Context, upstream fleet.Upstream, attempt fleet.Attempt) (fleet.Answer, fleet.CallResult)
 }
--- a/internal/daemon/egress/run.go
+++ b/internal/daemon/egress/run.go
@@ -136,6 +136,12 @@
 
 // wait returns nil when the attempt has started, or its refusal.
 func (e *Egress) wait(ctx context.Context, w *waiter) *fleet.Reply {
+	// With a free slot the attempt was decided when it was admitted.
+	select {
+	case refusal := <-w.decided:
+		return refusal
+	default:
+	}
 	timer := time.NewTimer(time.Until(w.deadline))
 	defer timer.Stop()
 	reply := fleet.Refuse(fleet.ReasonDeadline, "the deadline passed in the queue")
--- a/internal/daemon/server/handler.go
+++ b/internal/daemon/server/handler.go
@@ -119,9 +119,6 @@
 		return f.network.Run(ctx, daemon, attempt)
 	}
 
-	// Attempts of one request share its header; the upstream's client adds to it.
-	attempt.Request.Header = attempt.Request.Header.Clone()
-
 	return f.local.Run(ctx, f.self, attempt)
 }
 
