--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -4,11 +4,13 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/capacity"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/health"
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/path"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/table"
 )
 
@@ -16,6 +18,11 @@
 	Seeds    int    `arg:"--seeds" default:"4" help:"runs per measure, each with its own fixed seed"`
 	Capacity bool   `arg:"--capacity" help:"print the cost at the target instead, which takes a minute"`
 	Match    string `arg:"--match" help:"with --capacity, only costs whose description contains this"`
+
+	Path       bool          `arg:"--path" help:"measure the request path over separate processes instead"`
+	Bin        string        `arg:"--bin" default:"bin" help:"with --path: directory with the programs"`
+	Phase      time.Duration `arg:"--phase" default:"3s" help:"with --path: time of each phase"`
+	Saturation float64       `arg:"--saturation" help:"with --path: rate per second of which the levels are shares, to compare programs at equal rates"`
 }
 
 // sections returns all groups of measures in the order of the table.
@@ -24,6 +31,10 @@
 		return []table.Section{capacity.Section(args.Match)}
 	}
 
+	if args.Path {
+		return []table.Section{path.Section(path.Options{Bin: args.Bin, Length: args.Phase, Saturation: args.Saturation})}
+	}
+
 	return []table.Section{health.Section}
 }
 
--- a/internal/core/keys/scrub.go
+++ b/internal/core/keys/scrub.go
@@ -137,13 +137,16 @@
 // contains reports whether text contains key, as it stands, in another letter
 // case (header names are canonicalised on the way) or percent-encoded.
 func contains(text, key string) bool {
-	lowerKey := strings.ToLower(key)
-
 	for range maxDecodings {
-		if strings.Contains(strings.ToLower(text), lowerKey) {
+		if containsFold(text, key) {
 			return true
 		}
 
+		// Decoding only shortens a text.
+		if len(text) < len(key) {
+			return false
+		}
+
 		decoded, err := url.QueryUnescape(text)
 		if err != nil || decoded == text {
 			return false
@@ -152,5 +155,17 @@
 		text = decoded
 	}
 
-	return strings.Contains(strings.ToLower(text), lowerKey)
+	return containsFold(text, key)
+}
+
+// containsFold reports whether text contains key in any letter case. It runs
+// for every header of every request and does not allocate.
+func containsFold(text, key string) bool {
+	for i := 0; i+len(key) <= len(text); i++ {
+		if strings.EqualFold(text[i:i+len(key)], key) {
+			return true
+		}
+	}
+
+	return false
 }
--- a/internal/daemon/ingress/dispatch.go
+++ b/internal/daemon/ingress/dispatch.go
@@ -32,8 +32,7 @@
 
 // attemptResult is a finished attempt.
 type attemptResult struct {
-	candidate balance.Candidate
-	reply     fleet.Reply
+	reply fleet.Reply
 }
 
 // dispatcher sends one request to upstreams until one answers.
@@ -41,9 +40,11 @@
 	*Ingress
 	job
 	ctx     context.Context
-	results chan attemptResult
-	running map[string]*lifetime
+	results chan *attemptResult
+	running int
 	tried   []string
+	// triedSpace holds the first elements of tried.
+	triedSpace [2]string
 	// last is the most telling result so far: Unknown goes before NotRun.
 	last fleet.Reply
 	// failed is an upstream's own error answer, kept for the case that no
@@ -52,29 +53,26 @@
 }
 
 func (in *Ingress) dispatch(ctx context.Context, j job) fleet.Reply {
-	// The deadline bounds the time to the start of the answer. A long answer
-	// may run on.
-	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(time.Until(j.deadline), cancel)
+	life := newLifetime(ctx, j.deadline)
 
 	d := &dispatcher{
-		Ingress: in, job: j, ctx: ctx,
+		Ingress: in, job: j, ctx: life.ctx,
 		// Every attempt can deliver its result without a reader.
-		results: make(chan attemptResult, maxAttempts),
-		running: make(map[string]*lifetime),
+		results: make(chan *attemptResult, maxAttempts),
 		last:    fleet.Refuse(fleet.ReasonNoUpstream, "the service has no upstream that takes requests"),
 	}
 	in.choices.request(j.route.Service)
 
 	reply := d.run()
-	if !timer.Stop() || reply.Outcome != fleet.Ran {
-		cancel()
-	}
+	if reply.Outcome != fleet.Ran {
+		life.end()
 
-	if reply.Outcome == fleet.Ran {
-		reply.Answer.Body = &tracked{ReadCloser: reply.Answer.Body, done: cancel}
+		return reply
 	}
 
+	life.answered(d.running > 0)
+	reply.Answer.Body = &tracked{ReadCloser: reply.Answer.Body, done: life.end}
+
 	return reply
 }
 
@@ -82,7 +80,7 @@
 	defer d.dropOthers()
 
 	for {
-		if len(d.running) == 0 && !d.next() {
+		if d.running == 0 && !d.next() {
 			if d.failed != nil {
 				return *d.failed
 			}
@@ -92,7 +90,7 @@
 
 		select {
 		case result := <-d.results:
-			delete(d.running, result.candidate.Upstream)
+			d.running--
 
 			if d.settle(result) {
 				d.dropFailed()
@@ -176,16 +174,19 @@
 		return false
 	}
 
-	life := newLifetime(d.ctx)
 	attempt := d.attempt(candidate, key)
 
+	if len(d.tried) == 0 {
+		d.tried = d.triedSpace[:0]
+	}
+
 	d.tried = append(d.tried, candidate.Upstream)
-	d.running[candidate.Upstream] = life
+	d.running++
 	d.Metrics.Add("Attempts", 1)
 
-	go func() {
-		d.results <- attemptResult{candidate: candidate, reply: d.try(life.ctx, life.cancel, candidate, attempt)}
-	}()
+	d.workers.Run(func() {
+		d.results <- &attemptResult{reply: d.try(candidate, attempt)}
+	})
 
 	return true
 }
@@ -209,20 +210,16 @@
 }
 
 // try runs one attempt to its end and makes sure of its outcome.
-func (d *dispatcher) try(
-	ctx context.Context, cancel context.CancelFunc, candidate balance.Candidate, attempt fleet.Attempt,
-) fleet.Reply {
+func (d *dispatcher) try(candidate balance.Candidate, attempt fleet.Attempt) fleet.Reply {
 	began := time.Now()
-	reply := d.Egress.Run(ctx, candidate.Daemon, attempt)
+	reply := d.Egress.Run(d.ctx, candidate.Daemon, attempt)
 	reply.ID = attempt.ID
 
 	if reply.Outcome == fleet.Ran {
-		return d.answered(cancel, candidate, reply, began)
+		return d.answered(candidate, reply, began)
 	}
 
-	abandoned := ctx.Err() != nil
-
-	cancel()
+	abandoned := d.ctx.Err() != nil
 
 	if reply.Outcome == fleet.Unknown && !d.route.Idempotent {
 		reply = d.confirm(candidate, reply)
@@ -244,9 +241,7 @@
 
 // answered reads the start of an answer, so that an answer cut short is found
 // before any of it was passed on.
-func (d *dispatcher) answered(
-	cancel context.CancelFunc, candidate balance.Candidate, reply fleet.Reply, began time.Time,
-) fleet.Reply {
+func (d *dispatcher) answered(candidate balance.Candidate, reply fleet.Reply, began time.Time) fleet.Reply {
 	latency := time.Since(began)
 	body, whole := peek(reply.Answer)
 
@@ -256,7 +251,6 @@
 	if !whole {
 		_ = body.Close()
 
-		cancel()
 		d.Metrics.Add("TruncatedAnswers", 1)
 
 		failure := fleet.Fail(fleet.ReasonTruncated, "the upstream's answer was cut short")
@@ -265,7 +259,8 @@
 		return failure
 	}
 
-	reply.Answer.Body = &tracked{ReadCloser: body, done: cancel}
+	// The attempt's context ends with that of the request.
+	reply.Answer.Body = body
 
 	return reply
 }
@@ -293,7 +288,7 @@
 }
 
 // settle takes a result and reports whether it ends the request.
-func (d *dispatcher) settle(result attemptResult) bool {
+func (d *dispatcher) settle(result *attemptResult) bool {
 	if result.reply.Outcome == fleet.Ran {
 		if !d.retryStatus(result.reply) {
 			return true
@@ -337,7 +332,7 @@
 
 // hedge returns a channel that delivers when a second attempt is due.
 func (d *dispatcher) hedge() <-chan time.Time {
-	if !d.route.Idempotent || len(d.running) != 1 || len(d.tried) > 1 {
+	if !d.route.Idempotent || d.running != 1 || len(d.tried) > 1 {
 		return nil
 	}
 
@@ -353,15 +348,11 @@
 // come. The attempts run on until the deadline: cancelling them would keep the
 // answers of slow upstreams out of the evidence, and hedges are few.
 func (d *dispatcher) dropOthers() {
-	rest := len(d.running)
+	rest := d.running
 	if rest == 0 {
 		return
 	}
 
-	for _, life := range d.running {
-		life.detach(time.Until(d.deadline))
-	}
-
 	go func() {
 		for range rest {
 			if result := <-d.results; result.reply.Outcome == fleet.Ran {
