--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,6 +24,10 @@
 	startTimeout = 20 * time.Second
 	stopTimeout  = 15 * time.Second
 	pollInterval = 50 * time.Millisecond
+	// firstPort and portCount are below Linux's default range for outgoing
+	// connections, which starts at 32768.
+	firstPort = 12000
+	portCount = 20000
 )
 
 // Plan describes the processes to start.
@@ -274,11 +279,19 @@
 }
 
 // reserve returns loopback addresses with ports that were free a moment ago.
+// They lie below the ports that the system gives to outgoing connections, so
+// that a daemon that restarts finds its ports free.
 func reserve(n int) ([]netip.AddrPort, error) {
 	var addresses []netip.AddrPort
 
-	for range n {
-		listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	for tries := 0; len(addresses) < n; tries++ {
+		port := firstPort + rand.IntN(portCount) //nolint:gosec // not for secrets
+
+		listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		if err != nil && tries < portCount {
+			continue
+		}
+
 		if err != nil {
 			return nil, fmt.Errorf("reserve a port: %w", err)
 		}
