Trust keys after a pause only once the daemon has caught up

Cause: a daemon that ran on after a pause counted as fresh as soon as any exchange was completed, also an answered probe, which carries no keys. Peers send no rumors to a member that they think faulty, so the daemon served a withdrawn key until its next anti-entropy exchange. The time of an exchange was that of its receipt, so an answer that had waited in a socket during the pause counted as new. Any answer of the store counted too, although only the watch of the keys tells of withdrawals.

Ruled out: the key table and the rumors themselves (daemons frozen for 4 s, which are not thought faulty yet, stopped in time); refusing to count probes at all, because the anti-entropy peer is random and daemons would often be isolated without a fault.

Change: exchanges count from their begin. After a gap longer than keys.FreshFor they do not count; the daemon first synchronizes with 4 peers and counts when all have answered or 500 ms have passed. Of the store, only the watch of the keys counts, from its begin.

The unit test fails without the rule.

--- a/internal/daemon/configuration/loader.go
+++ b/internal/daemon/configuration/loader.go
@@ -75,6 +75,7 @@
 type Loader struct {
 	Dependencies
 	store    *contactStore
+	keysRead atomic.Pointer[time.Time]
 	snapshot atomic.Pointer[publication.Snapshot]
 	// heads carries the latest manifest that the watch has seen.
 	heads chan []byte
@@ -121,6 +122,17 @@
 	return l.store.last()
 }
 
+// LastKeys returns when the last answered watch of the keys had begun, or the
+// zero time. Other answers of the store say nothing about keys, and one that
+// waited while the daemon was paused is older than its receipt.
+func (l *Loader) LastKeys() time.Time {
+	if at := l.keysRead.Load(); at != nil {
+		return *at
+	}
+
+	return time.Time{}
+}
+
 // Subscribe returns a channel that receives after a version was installed, with
 // several installations merged into one, and a function that ends it.
 func (l *Loader) Subscribe() (<-chan struct{}, func()) {
--- a/internal/daemon/configuration/store.go
+++ b/internal/daemon/configuration/store.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kumquatshelf/kumquatshelf/internal/config/keystore"
 	"github.com/kumquatshelf/kumquatshelf/internal/config/publication"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 )
@@ -62,6 +63,7 @@
 
 			continue
 		}
+		began := time.Now()
 		objects, outcome := l.store.Watch(ctx, kind, since)
 		if outcome != fleet.StoreOK {
 			sleep(ctx, backOff(failures, random))
@@ -74,6 +76,9 @@
 			since = max(since, object.Version)
 			changed(object)
 		}
+		if kind == keystore.Kind {
+			l.keysRead.Store(&began)
+		}
 	}
 }
 
--- a/internal/daemon/membership/loops.go
+++ b/internal/daemon/membership/loops.go
@@ -63,11 +63,10 @@
 func (m *Membership) call(ctx context.Context, daemon string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	began := time.Now()
 	answer, ok := m.peers.Call(ctx, daemon, frame)
 	if ok {
-		var zone string
-		m.replica.With(func(node *gossip.Node, _ time.Time) { zone = node.Zone(daemon) })
-		m.noteContact(zone != "" && zone != m.settings.AvailabilityZone)
+		m.noteContact(began, m.otherZone(daemon))
 	}
 	if frame.GetRumor() != nil {
 		m.counters.Rumors.Add(1)
@@ -79,16 +78,6 @@
 	return answer, ok
 }
 
-func (m *Membership) noteContact(otherZone bool) {
-	m.contactMu.Lock()
-	defer m.contactMu.Unlock()
-	now := time.Now()
-	m.contact.Any = now
-	if otherZone {
-		m.contact.OtherZone = now
-	}
-}
-
 // changed runs while the replica is locked.
 func (m *Membership) changed(changes []fleet.Entry, incarnation uint64) {
 	m.counters.Changes.Add(int64(len(changes)))
@@ -166,13 +155,10 @@
 	call := func(frame *peerpb.Frame) (*peerpb.Frame, bool) {
 		ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
 		defer cancel()
-		answer, ok := m.peers.CallAddress(ctx, seed, frame)
-		if ok {
-			m.noteContact(false)
-		}
 
-		return answer, ok
+		return m.peers.CallAddress(ctx, seed, frame)
 	}
+	began := time.Now()
 	for range joinExchanges {
 		more, ok := m.replica.Synchronize(m.ctx, call)
 		if !ok {
@@ -184,6 +170,9 @@
 			break
 		}
 	}
+	m.contactMu.Lock()
+	defer m.contactMu.Unlock()
+	m.contact.note(began, false)
 
 	return true
 }
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -47,17 +47,6 @@
 	return uint64(max(now.UnixMilli(), 1)) //nolint:gosec // positive
 }
 
-// Contact tells when this daemon last completed an exchange that it began.
-type Contact struct {
-	// Any is the time with any peer, OtherZone with one of another availability
-	// zone; zero if there was none.
-	Any, OtherZone time.Time
-	// KnewPeer and KnewOtherZone say that such a member was known at any time
-	// since the start; they stay true when all are faulty or forgotten, so that
-	// isolation does not look like a fleet of one.
-	KnewPeer, KnewOtherZone bool
-}
-
 // Membership is this daemon's part in the fleet. It is safe for concurrent use.
 type Membership struct {
 	settings Settings
@@ -70,6 +59,7 @@
 	ctx     context.Context // ends all loops
 	loops   sync.WaitGroup
 	pending chan struct{} // there are rumors to spread
+	missed  chan struct{} // rumors may have been missed
 	delayed chan struct{} // the configuration version has to be announced
 	raised  chan uint64
 	joined  chan struct{}
@@ -100,6 +90,7 @@
 		settings: settings, peers: peers, cancel: cancel, ctx: ctx,
 		random:      rand.New(rand.NewPCG(random.Uint64(), random.Uint64())), //nolint:gosec // not for secrets
 		pending:     make(chan struct{}, 1),
+		missed:      make(chan struct{}, 1),
 		delayed:     make(chan struct{}, 1),
 		raised:      make(chan uint64, 1),
 		joined:      make(chan struct{}),
@@ -121,7 +112,7 @@
 	m.replica = NewReplica(node)
 	m.replica.Call = m.call
 	m.replica.Changed = m.changed
-	for _, loop := range []func(){m.join, m.spread, m.probe, m.synchronize, m.tick, m.announceVersion, m.raise} {
+	for _, loop := range []func(){m.join, m.catchUp, m.spread, m.probe, m.synchronize, m.tick, m.announceVersion, m.raise} {
 		m.loops.Go(loop)
 	}
 
@@ -266,14 +257,6 @@
 	return relays
 }
 
-// LastContact tells when this daemon last completed an exchange with a peer.
-func (m *Membership) LastContact() Contact {
-	m.contactMu.Lock()
-	defer m.contactMu.Unlock()
-
-	return m.contact
-}
-
 // Leave tells the fleet that the daemon has gone. It returns once a peer knows,
 // or when ctx ends, and reports which. The caller then ends the membership.
 func (m *Membership) Leave(ctx context.Context) bool {
--- a/internal/daemon/membership/membership_test.go
+++ b/internal/daemon/membership/membership_test.go
@@ -14,6 +14,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/adapter/peer"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/gossip"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
@@ -224,6 +225,39 @@
 	})
 }
 
+// Guards against a daemon that trusts its keys after a pause, because a probe
+// was answered, before it has learned what it missed (R4).
+func TestContactAfterGapFollowsCatchUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, members, stops := startFleet(6)
+		defer stopAll(stops)
+		cut := func(cut func(from, to string) bool) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.cut = cut
+		}
+		cut(func(from, _ string) bool { return from == "d0" })
+		time.Sleep(10 * time.Second)
+		members[1].Publish(key(1, 2))
+		time.Sleep(4 * time.Second)
+		members[0].noteContact(time.Now(), true)
+		if got := members[0].LastContact(); time.Since(got.Any) <= keys.FreshFor || time.Since(got.OtherZone) <= keys.FreshFor {
+			t.Errorf("got contact %s ago by an answered probe after the gap, want that of before the gap", time.Since(got.Any))
+		}
+		cut(nil)
+		for deadline := time.Now().Add(5 * time.Second); time.Since(members[0].LastContact().OtherZone) > keys.FreshFor; {
+			if time.Now().After(deadline) {
+				t.Fatal("got no contact 5 s after the gap, want some")
+			}
+			time.Sleep(time.Millisecond)
+			synctest.Wait()
+		}
+		if got, _ := members[0].Get(fleet.KindKey, "key1"); got.Version != 2 {
+			t.Errorf("got version %d of the key at the first contact after the gap, want 2", got.Version)
+		}
+	})
+}
+
 // Guards against a slow subscriber that holds up the daemon or misses a last
 // change.
 func TestSlowSubscriber(t *testing.T) {
--- a/internal/daemon/server/follow.go
+++ b/internal/daemon/server/follow.go
@@ -114,7 +114,7 @@
 	contact := s.membership.LastContact()
 
 	return keys.Contact{
-		Store: s.loader.LastContact(), Peer: contact.Any, OtherZone: contact.OtherZone,
+		Store: s.loader.LastKeys(), Peer: contact.Any, OtherZone: contact.OtherZone,
 		KnowsPeers: contact.KnewPeer, KnowsOtherZones: contact.KnewOtherZone,
 	}
 }
