--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -24,6 +24,10 @@
 	startTimeout = 20 * time.Second
 	stopTimeout  = 15 * time.Second
 	pollInterval = 50 * time.Millisecond
+	// firstPort and portCount are below Linux's default range for outgoing
+	// connections, which starts at 32768.
+	firstPort = 12000
+	portCount = 20000
 )
 
 // Plan describes the processes to start.
@@ -303,36 +307,30 @@
 }
 
 // reserve returns loopback addresses with ports that were free a moment ago.
-// They lie below the ports that outgoing connections are given, one of which
-// could otherwise take a port before its server starts.
+// They lie below the ports that the system gives to outgoing connections, so
+// that a daemon that restarts finds its ports free.
 func reserve(n int) ([]netip.AddrPort, error) {
-	const (
-		lowest  = 12000
-		highest = 32000
-	)
-
-	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
-
 	var addresses []netip.AddrPort
 
-	for range 100 * n {
-		if len(addresses) == n {
-			return addresses, nil
-		}
+	for tries := 0; len(addresses) < n; tries++ {
+		port := firstPort + rand.IntN(portCount) //nolint:gosec // not for secrets
 
-		address := netip.AddrPortFrom(loopback, uint16(lowest+rand.IntN(highest-lowest))) //nolint:gosec // a port
+		listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		if err != nil && tries < portCount {
+			continue
+		}
 
-		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 		if err != nil {
-			continue
+			return nil, fmt.Errorf("reserve a port: %w", err)
 		}
 
 		defer func() { _ = listener.Close() }()
 
-		addresses = append(addresses, address)
+		address, _ := listener.Addr().(*net.TCPAddr)
+		addresses = append(addresses, netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port()))
 	}
 
-	return nil, fmt.Errorf("found only %d of %d free ports", len(addresses), n)
+	return addresses, nil
 }
 
 func waitFor(ctx context.Context, address netip.AddrPort) error {
