Reach the granter through a seat when the way to it is cut

Cause: while the way between two availability zones was cut, daemons on one side could not reach a granter on the other and refused every keyed request of its client accounts as LimitAway, although daemons of a third zone reached both. The seats that were asked in turn only named the granter that could not be reached.

Change: a request for tokens that goes to another daemon than the known granter asks it to pass the request on once. The answer is valid from when the holder sent its request, and the granter tells repeats by the holder's name, so that a request that arrives both ways grants once. A relay that worked is used for 5 s before the direct way is tried again. server.New takes the dial functions of the peer network and of the store's client, so that tests can cut them.

--- a/cmd/kumquatshelfd/main.go
+++ b/cmd/kumquatshelfd/main.go
@@ -72,7 +72,7 @@
 
 	metrics := expvar.NewMap("Kumquatshelf")
 
-	daemon, cleanUp, err := server.New(parsed, log, metrics)
+	daemon, cleanUp, err := server.New(parsed, server.Options{}, log, metrics)
 	if err != nil {
 		log.Error("start failed", "error", err)
 
--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -16,6 +16,11 @@
 // queryInterval is the pause between queries of a seat that is not active.
 const queryInterval = 250 * time.Millisecond
 
+// relayFor is how long requests for tokens go through a relay before the
+// granter is tried directly again, which costs the wait of a failed call if the
+// way is still cut.
+const relayFor = 5 * time.Second
+
 // Drain is how long a leaving granter still grants before it releases the
 // lease. Grants made in it are cut to the time left, and grants made before it
 // expire in it by any clock.
@@ -45,9 +50,12 @@
 	asked     int
 	searching bool
 	// failed did not answer; what others say of it as holder is out of date.
-	failed    string
-	nextRead  time.Time
-	misplaced time.Time
+	failed string
+	// relay reached the granter when this daemon could not.
+	relay      string
+	relayUntil time.Time
+	nextRead   time.Time
+	misplaced  time.Time
 	// missing says that the store has no seats object.
 	missing   bool
 	nextQuery time.Time
@@ -97,7 +105,7 @@
 	if entry.GetEpoch() < g.known.GetEpoch() || entry.GetEpoch() == g.known.GetEpoch() && entry.GetTerm() <= g.known.GetTerm() {
 		return
 	}
-	g.known, g.searching = entry, false
+	g.known, g.searching, g.relay = entry, false, ""
 	if entry.GetHolder() != g.self.Name || entry.GetHolderIncarnation() != g.self.Incarnation {
 		g.candidate.Know(now, entry.GetTerm())
 	}
@@ -161,12 +169,22 @@
 		return nil
 	}
 
-	return &Message{To: g.granterName(now), Sent: now, Frame: &peerpb.Frame{Body: &peerpb.Frame_TokenRequest{TokenRequest: request}}}
+	to := g.granterName(now)
+	request.Relay = to != g.Holder(now)
+
+	return &Message{To: to, Sent: now, Frame: &peerpb.Frame{Body: &peerpb.Frame_TokenRequest{TokenRequest: request}}}
 }
 
 // granterName returns whom to ask for tokens: the believed holder, or while it
-// does not answer the seats in turn, which tell whom they have promised.
+// does not answer the seats in turn, which tell whom they have promised or pass
+// the request on.
 func (g *Group) granterName(now time.Time) string {
+	if g.relay != "" && !g.Held(now) {
+		if now.Before(g.relayUntil) {
+			return g.relay
+		}
+		g.relay, g.searching = "", false
+	}
 	if name := g.Holder(now); name != "" && (!g.searching || name == g.self.Name) {
 		return name
 	}
@@ -201,6 +219,10 @@
 		return &peerpb.TokenResult{Holder: g.Holder(now)}
 	}
 
+	if request.GetAsker() != "" {
+		from = request.GetAsker()
+	}
+
 	return g.granter.Handle(now, from, request, g.candidate.Left(now))
 }
 
@@ -219,24 +241,37 @@
 			g.candidate.Observe(g.voter.Seats())
 		}
 	case *peerpb.Frame_TokenRequest:
-		result := answer.GetTokenResult()
-		if result.GetGranter() {
-			if g.searching || g.Holder(now) == "" {
-				g.known = &peerpb.Lease{Group: g.known.GetGroup(), Holder: message.To, Epoch: g.known.GetEpoch(), Term: g.known.GetTerm(), Seats: g.known.GetSeats()}
-			}
-			g.searching, g.failed = false, ""
-
-			return g.holder.Answer(now, body.TokenRequest, result)
-		}
-		g.holder.Fail(now, body.TokenRequest)
-		g.searching = true
-		if result == nil {
-			g.failed = message.To
+		return g.answerTokens(now, message.To, body.TokenRequest, answer.GetTokenResult())
+	}
+
+	return nil
+}
+
+// answerTokens takes the answer to a request for tokens, or nil if none came.
+func (g *Group) answerTokens(now time.Time, from string, request *peerpb.TokenRequest, result *peerpb.TokenResult) []*tokens.Waiter {
+	if result.GetGranter() && result.GetHolder() != "" && result.GetHolder() != from {
+		if g.relay == "" {
+			g.relay, g.relayUntil = from, now.Add(relayFor)
 		}
-		if name := result.GetHolder(); name != "" && name != message.To && name != g.self.Name && name != g.failed {
-			g.known = &peerpb.Lease{Group: g.known.GetGroup(), Holder: name, Epoch: g.known.GetEpoch(), Term: g.known.GetTerm(), Seats: g.known.GetSeats()}
-			g.searching = false
+
+		return g.holder.Answer(now, request, result)
+	}
+	if result.GetGranter() {
+		if g.searching || g.Holder(now) == "" {
+			g.known = &peerpb.Lease{Group: g.known.GetGroup(), Holder: from, Epoch: g.known.GetEpoch(), Term: g.known.GetTerm(), Seats: g.known.GetSeats()}
 		}
+		g.searching, g.failed, g.relay = false, "", ""
+
+		return g.holder.Answer(now, request, result)
+	}
+	g.holder.Fail(now, request)
+	g.searching, g.relay = true, ""
+	if result == nil {
+		g.failed = from
+	}
+	if name := result.GetHolder(); name != "" && name != from && name != g.self.Name && name != g.failed {
+		g.known = &peerpb.Lease{Group: g.known.GetGroup(), Holder: name, Epoch: g.known.GetEpoch(), Term: g.known.GetTerm(), Seats: g.known.GetSeats()}
+		g.searching = false
 	}
 
 	return nil
--- a/internal/daemon/limits/limits.go
+++ b/internal/daemon/limits/limits.go
@@ -155,7 +155,7 @@
 
 // Handle answers a PromiseRequest, SeatEpoch or TokenRequest of the daemon
 // named from. It returns false for other frames and for groups that do not exist.
-func (l *Limiter) Handle(_ context.Context, from string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
+func (l *Limiter) Handle(ctx context.Context, from string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
 	var number uint32
 	switch body := frame.GetBody().(type) {
 	case *peerpb.Frame_PromiseRequest:
@@ -175,9 +175,42 @@
 	}
 	s := l.slots[number]
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	answer, ok := s.group.Handle(time.Now(), from, frame)
+	s.mu.Unlock()
+	if result := answer.GetTokenResult(); result != nil && !result.GetGranter() && frame.GetTokenRequest().GetRelay() {
+		return l.relay(ctx, from, frame.GetTokenRequest(), answer), true
+	}
+
+	return answer, ok
+}
+
+// relay passes a request for tokens on to the granter for a daemon that cannot
+// reach it. The tokens expire by the time at which that daemon sent its request,
+// so that the longer way does not prolong them. It returns answer if the granter
+// is not known or does not grant.
+func (l *Limiter) relay(ctx context.Context, from string, request *peerpb.TokenRequest, answer *peerpb.Frame) *peerpb.Frame {
+	granter := answer.GetTokenResult().GetHolder()
+	if granter == "" || granter == from || granter == l.self.Name {
+		return answer
+	}
+	select {
+	case l.calls <- struct{}{}:
+		defer func() { <-l.calls }()
+	default:
+		return answer
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	relayed, ok := l.peers.Call(ctx, granter, &peerpb.Frame{Body: &peerpb.Frame_TokenRequest{TokenRequest: &peerpb.TokenRequest{
+		Group: request.GetGroup(), Demands: request.GetDemands(), Incarnation: request.GetIncarnation(),
+		Sequence: request.GetSequence(), Asker: from,
+	}}})
+	if !ok || !relayed.GetTokenResult().GetGranter() {
+		return answer
+	}
+	relayed.GetTokenResult().Holder = granter
 
-	return s.group.Handle(time.Now(), from, frame)
+	return relayed
 }
 
 // Held reports whether this daemon holds the lease of a group at now.
--- a/internal/daemon/limits/limits_test.go
+++ b/internal/daemon/limits/limits_test.go
@@ -26,6 +26,8 @@
 	lose    bool
 	away    bool
 	calls   int
+	// cut reports that calls between two daemons fail.
+	cut func(from, to string) bool
 }
 
 type daemon struct {
@@ -40,8 +42,12 @@
 	d.mu.Lock()
 	d.calls++
 	to := d.daemons[name]
+	cut := d.cut != nil && (d.cut(d.member.Name, name) || d.cut(name, d.member.Name))
 	d.mu.Unlock()
-	if to == nil {
+	if cut {
+		<-ctx.Done()
+	}
+	if to == nil || cut {
 		return nil, false
 	}
 
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -45,6 +45,7 @@
 // Server is one daemon.
 type Server struct {
 	settings settings.Settings
+	options  Options
 	log      *slog.Logger
 	metrics  *expvar.Map
 
@@ -69,11 +70,19 @@
 	restart chan struct{}
 }
 
+// Options change how a daemon connects. The zero value uses TCP.
+type Options struct {
+	// DialPeer opens connections to other daemons.
+	DialPeer peer.Dial
+	// Platform are the options of the store's client.
+	Platform platform.Options
+}
+
 // New starts a daemon and returns it with its clean-up function. Call Stop
 // before that for a planned stop. Metrics receives the daemon's variables.
-func New(s settings.Settings, log *slog.Logger, metrics *expvar.Map) (*Server, func(), error) {
+func New(s settings.Settings, options Options, log *slog.Logger, metrics *expvar.Map) (*Server, func(), error) {
 	d := &Server{
-		settings: s, log: log, metrics: metrics, keys: keys.NewTable(), restart: make(chan struct{}),
+		settings: s, options: options, log: log, metrics: metrics, keys: keys.NewTable(), restart: make(chan struct{}),
 	}
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -121,7 +130,7 @@
 
 	d.network, cleanUp = peer.New(listener, peer.Identity{
 		Name: d.settings.Name, Incarnation: incarnation, AvailabilityZone: d.settings.AvailabilityZone,
-	}, nil, peer.DefaultTiming())
+	}, d.options.DialPeer, peer.DefaultTiming())
 	d.onClose(cleanUp)
 	d.metrics.Set("Peers", d.network.Variables())
 
@@ -173,7 +182,7 @@
 func (d *Server) startControl(context.Context) error {
 	var cleanUp func()
 
-	d.store, cleanUp = platform.New(d.settings.Platform.String(), platform.Options{})
+	d.store, cleanUp = platform.New(d.settings.Platform.String(), d.options.Platform)
 	d.onClose(cleanUp)
 
 	d.audit, cleanUp = trail.New(d.store, d.log)
