Let other models run the arbiter of the health model

The model of client accounts needs the detector and arbiter with the same loss and delay of reports. Arbitration holds them apart from the model's requests; its random numbers are drawn in the same order, so results are unchanged.

--- a/internal/bench/health/measure.go
+++ b/internal/bench/health/measure.go
@@ -46,7 +46,7 @@
 			}
 		}
 		ejected := 2*views >= len(m.paths)
-		if _, central := m.policy.(*arbiterPolicy); central && ejected && !m.wasEjected[i] {
+		if _, central := m.policy.(arbiterPolicy); central && ejected && !m.wasEjected[i] {
 			m.ejected(i, 1)
 		}
 		m.wasEjected[i] = ejected
@@ -87,7 +87,7 @@
 	case successRate:
 		p = newBaseline(d, true)
 	case thisPolicy:
-		p = newArbiterPolicy(d, threshold, seed)
+		p = arbiterPolicy{NewArbitration(d, threshold, seed)}
 	}
 	m := &model{
 		deployment: d, fault: f, policy: p,
--- a/internal/bench/health/model.go
+++ b/internal/bench/health/model.go
@@ -17,10 +17,10 @@
 const (
 	serviceName = "Service"
 	slots       = 3
-	// meanService is the service time of the average request, that of a probe.
-	meanService = 25 * time.Millisecond
-	// serviceSigma is the standard deviation of log service time on a route.
-	serviceSigma = 0.4
+	// MeanService is the service time of the average request, that of a probe.
+	MeanService = 25 * time.Millisecond
+	// ServiceSigma is the standard deviation of log service time on a route.
+	ServiceSigma = 0.4
 	// speedSigma is the spread of speed between instances.
 	speedSigma = 0.1
 	// utilization is the load in parts of the service's capacity.
@@ -53,8 +53,8 @@
 var (
 	// epoch is the model's time zero.
 	epoch = time.Unix(1_000_000, 0)
-	// accountShares are the shares of eight client accounts, a few large.
-	accountShares = []float64{0.32, 0.24, 0.16, 0.1, 0.07, 0.05, 0.04, 0.02}
+	// AccountShares are the traffic shares of eight client accounts, a few large.
+	AccountShares = []float64{0.32, 0.24, 0.16, 0.1, 0.07, 0.05, 0.04, 0.02}
 	routes        = []route{
 		{"Read", 0.5, 0.7, true},
 		{"List", 0.3, 1.3, true},
@@ -177,7 +177,7 @@
 
 func upstreamName(i int) string { return fmt.Sprint("u", i) }
 
-func (m *model) zone(i int) string { return fmt.Sprint("z", i%m.deployment.Zones) }
+func (d Deployment) zone(i int) string { return fmt.Sprint("z", i%d.Zones) }
 
 // run plays the warm-up and then the fault for the given time.
 func (m *model) run(length time.Duration) result {
@@ -185,7 +185,7 @@
 		m.upstreams = append(m.upstreams, &upstream{speed: math.Exp(speedSigma * m.random.NormFloat64())})
 		paths := make([]pathTo, m.deployment.Upstreams)
 		for j := range paths {
-			paths[j].latency = meanService.Seconds()
+			paths[j].latency = MeanService.Seconds()
 		}
 		m.paths = append(m.paths, paths)
 		m.retries = append(m.retries, 0)
@@ -205,8 +205,6 @@
 	return m.result
 }
 
-func (m *model) time() time.Time { return epoch.Add(m.now) }
-
 // disturb lets a healthy upstream pause and share its instance now and then.
 func (m *model) disturb(i int) {
 	u := m.upstreams[i]
@@ -224,10 +222,10 @@
 }
 
 func (m *model) arrive() {
-	perSecond := utilization * float64(slots*m.deployment.Upstreams) / meanService.Seconds()
+	perSecond := utilization * float64(slots*m.deployment.Upstreams) / MeanService.Seconds()
 	m.after(m.exponential(time.Duration(float64(time.Second)/perSecond)), m.arrive)
 	r := &request{
-		account: pick(m.random, len(accountShares), func(i int) float64 { return accountShares[i] }),
+		account: pick(m.random, len(AccountShares), func(i int) float64 { return AccountShares[i] }),
 		route:   pick(m.random, len(routes), func(i int) float64 { return routes[i].share }),
 		ingress: m.random.IntN(m.deployment.Upstreams),
 		arrived: m.now,
@@ -361,9 +359,9 @@
 		factor *= busyFactor
 	}
 	// The mean of a log-normal distribution is exp(σ²/2).
-	x := math.Exp(serviceSigma*m.random.NormFloat64() - serviceSigma*serviceSigma/2)
+	x := math.Exp(ServiceSigma*m.random.NormFloat64() - ServiceSigma*ServiceSigma/2)
 
-	return time.Duration(float64(meanService)*factor*x) + max(u.pauseEnd-m.now, 0)
+	return time.Duration(float64(MeanService)*factor*x) + max(u.pauseEnd-m.now, 0)
 }
 
 // answer draws the result of a request that ran.
@@ -390,7 +388,6 @@
 	if u.condition.lying {
 		p.reported = 0
 	}
-	o.Service, o.Upstream = serviceName, upstreamName(r.upstream)
 	o.ClientAccount, o.Route = fmt.Sprint("c", r.account), routes[r.route].name
 	o.Served = served
 	m.policy.observe(m, r, o)
--- a/internal/bench/health/policies.go
+++ b/internal/bench/health/policies.go
@@ -20,13 +20,15 @@
 	state(ingress, upstream int, now time.Duration) core.State
 }
 
-// arbiterPolicy is the policy of the design, with its own code.
-type arbiterPolicy struct {
-	arbiter *core.Arbiter
-	egress  []*core.Collector
-	ingress []*core.PathCollector
-	random  *rand.Rand
-	states  []published
+// Arbitration runs the detector and arbiter of the design for one service, with
+// the loss and delay that reports and ejections have on their way.
+type Arbitration struct {
+	deployment Deployment
+	arbiter    *core.Arbiter
+	egress     []*core.Collector
+	ingress    []*core.PathCollector
+	random     *rand.Rand
+	states     []published
 }
 
 // published is an ejection on its way to the ingresses.
@@ -36,12 +38,15 @@
 	valid      time.Duration
 }
 
-func newArbiterPolicy(d Deployment, threshold float64, seed uint64) policy {
+// NewArbitration returns an arbiter with one egress and one ingress per
+// upstream. The threshold is in nats.
+func NewArbitration(d Deployment, threshold float64, seed uint64) *Arbitration {
 	service := fleet.Service{Name: serviceName, Floor: d.Floor, DetectionThreshold: threshold}
-	p := &arbiterPolicy{
-		arbiter: core.NewArbiter("d0", service, nil, epoch),
-		random:  rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // a model
-		states:  make([]published, d.Upstreams),
+	p := &Arbitration{
+		deployment: d,
+		arbiter:    core.NewArbiter("d0", service, nil, epoch),
+		random:     rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // a model
+		states:     make([]published, d.Upstreams),
 	}
 	for range d.Upstreams {
 		p.egress = append(p.egress, core.NewCollector())
@@ -51,23 +56,30 @@
 	return p
 }
 
-func (p *arbiterPolicy) observe(_ *model, r *request, o fleet.Observation) {
-	p.egress[r.upstream].Add(o)
+// Observe records the result of an attempt at its egress. It sets the service
+// and the upstream of the observation.
+func (p *Arbitration) Observe(upstream int, o fleet.Observation) {
+	o.Service, o.Upstream = serviceName, upstreamName(upstream)
+	p.egress[upstream].Add(o)
 }
 
-func (p *arbiterPolicy) observePath(_ *model, r *request, reached bool) {
-	p.ingress[r.ingress].Add(fleet.PathObservation{
-		Service: serviceName, Upstream: upstreamName(r.upstream), Reached: reached,
+// ObservePath records whether an ingress reached the upstream's egress.
+func (p *Arbitration) ObservePath(ingress, upstream int, reached bool) {
+	p.ingress[ingress].Add(fleet.PathObservation{
+		Service: serviceName, Upstream: upstreamName(upstream), Reached: reached,
 	})
 }
 
-func (p *arbiterPolicy) tick(m *model) {
-	now := m.time()
+// Tick delivers the reports and lets the arbiter decide. It is called once per
+// core.ReportInterval of internal/core/health; state returns an upstream's own.
+func (p *Arbitration) Tick(at time.Duration, state func(upstream int) fleet.UpstreamState) {
+	now := epoch.Add(at)
 	var upstreams []core.Upstream
-	for i, u := range m.upstreams {
+	for i := range p.states {
+		zone := p.deployment.zone(i)
 		upstreams = append(upstreams, core.Upstream{
-			Name: upstreamName(i), Slots: slots, State: u.condition.state, Alive: true,
-			Daemon: fmt.Sprint("d", i), AvailabilityZone: m.zone(i),
+			Name: upstreamName(i), Slots: slots, State: state(i), Alive: true,
+			Daemon: fmt.Sprint("d", i), AvailabilityZone: zone,
 		})
 		counts, paths := p.egress[i].Take(), p.ingress[i].Take()
 		if p.random.Float64() < lostReports {
@@ -77,19 +89,20 @@
 			p.arbiter.Report(c, now)
 		}
 		for _, c := range paths {
-			p.arbiter.ReportPath(core.Reporter{Daemon: fmt.Sprint("d", i), AvailabilityZone: m.zone(i)}, c, now)
+			p.arbiter.ReportPath(core.Reporter{Daemon: fmt.Sprint("d", i), AvailabilityZone: zone}, c, now)
 		}
 	}
 	for _, d := range p.arbiter.Decide(upstreams, now, p.random) {
 		for i := range p.states {
 			if upstreamName(i) == d.Upstream {
-				p.states[i] = published{p.state(0, i, m.now), d.State, m.now + spread, m.now + core.EjectionTTL}
+				p.states[i] = published{p.State(i, at), d.State, at + spread, at + core.EjectionTTL}
 			}
 		}
 	}
 }
 
-func (p *arbiterPolicy) state(_, upstream int, now time.Duration) core.State {
+// State returns the decision about an upstream as the ingresses see it.
+func (p *Arbitration) State(upstream int, now time.Duration) core.State {
 	s := p.states[upstream]
 	if now < s.since {
 		return s.old
@@ -101,6 +114,23 @@
 	return s.state
 }
 
+// arbiterPolicy is the policy of the design, with its own code.
+type arbiterPolicy struct{ *Arbitration }
+
+func (p arbiterPolicy) observe(_ *model, r *request, o fleet.Observation) { p.Observe(r.upstream, o) }
+
+func (p arbiterPolicy) observePath(_ *model, r *request, reached bool) {
+	p.ObservePath(r.ingress, r.upstream, reached)
+}
+
+func (p arbiterPolicy) tick(m *model) {
+	p.Tick(m.now, func(i int) fleet.UpstreamState { return m.upstreams[i].condition.state })
+}
+
+func (p arbiterPolicy) state(_, upstream int, now time.Duration) core.State {
+	return p.State(upstream, now)
+}
+
 // outlier is one ingress's record of one upstream in the baselines.
 type outlier struct {
 	consecutive   int
