--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/accounts"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/capacity"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/health"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/table"
@@ -24,7 +25,7 @@
 		return []table.Section{capacity.Section(args.Match)}
 	}
 
-	return []table.Section{health.Section}
+	return []table.Section{health.Section, accounts.Section}
 }
 
 func main() {
