--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/accounts"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/capacity"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/health"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/path"
@@ -35,7 +36,7 @@
 		return []table.Section{path.Section(path.Options{Bin: args.Bin, Length: args.Phase, Saturation: args.Saturation})}
 	}
 
-	return []table.Section{health.Section}
+	return []table.Section{health.Section, accounts.Section}
 }
 
 func main() {
