Drop forgotten members from the directory

Change: a goroutine prunes members that membership does not know any more. Result: TestPrune passes; without the change it found the upstream.

--- a/internal/daemon/directory/candidates_test.go
+++ b/internal/daemon/directory/candidates_test.go
@@ -98,3 +98,27 @@
 		})
 	}
 }
+
+// TestPrune guards against memory that grows with each replaced daemon, and
+// against requests for upstreams of daemons that are long gone.
+func TestPrune(t *testing.T) {
+	t.Parallel()
+
+	known := true
+	d := New("a", func(string) (gossip.Status, bool) { return gossip.Alive, known })
+	d.Decisions = func(string, string, time.Time) arbiter.Decision { return arbiter.Decision{} }
+	d.Update(memberEntry(t, 1, 1, false, "u1"))
+	d.Prune()
+
+	if got := len(d.Upstreams("S")); got != 1 {
+		t.Fatalf("upstreams of a known member: got %d, want 1", got)
+	}
+
+	known = false
+
+	d.Prune()
+
+	if got := len(d.Upstreams("S")); got != 0 || len(d.members) != 0 {
+		t.Errorf("got %d upstreams and %d members of a forgotten daemon, want none", got, len(d.members))
+	}
+}
--- a/internal/daemon/directory/directory.go
+++ b/internal/daemon/directory/directory.go
@@ -117,6 +117,20 @@
 	m.services = slices.Clip(m.services)
 }
 
+// Prune removes members that have been forgotten. Membership drops the entry of
+// a faulty member after a while without a further update.
+func (d *Directory) Prune() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	for name, m := range d.members {
+		if _, known := d.status(name); !known {
+			d.remove(m)
+			delete(d.members, name)
+		}
+	}
+}
+
 // remove removes the upstreams of a member. An upstream that moved belongs to
 // its new member already.
 func (d *Directory) remove(m *member) {
--- a/internal/daemon/server/follow.go
+++ b/internal/daemon/server/follow.go
@@ -19,6 +19,7 @@
 	s.running.Go(func() { s.entries(ctx, fleet.KindDrain, s.applyDrain) })
 	s.running.Go(func() { s.followConfiguration(ctx) })
 	s.running.Go(func() { s.followUpstreams(ctx) })
+	s.running.Go(func() { s.prune(ctx) })
 }
 
 // entries passes on the entries of a kind, first those that are known.
@@ -109,6 +110,21 @@
 	}
 }
 
+// prune drops members that membership has forgotten.
+func (s *Server) prune(ctx context.Context) {
+	ticker := time.NewTicker(pruneInterval)
+	defer ticker.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.directory.Prune()
+		}
+	}
+}
+
 // Contact tells how fresh the daemon's knowledge of keys is.
 func (s *Server) Contact() keys.Contact {
 	contact := s.membership.LastContact()
@@ -195,6 +211,10 @@
 	return e.membership.Subscribe(kind)
 }
 
+// pruneInterval is far below the time in which a fleet of today's size is
+// replaced once.
+const pruneInterval = time.Minute
+
 // joinTimeout is how long a starting daemon waits for a peer before it serves
 // without one.
 const joinTimeout = 2 * time.Second
