Return from isolation as soon as the way is open

Cause: a daemon that was cut off for longer than the failure detector waits regards all members of other availability zones as faulty. Then no probe goes to them and anti-entropy tries a faulty member in one of ten periods, so that after the cut the daemon went on refusing keyed requests as Isolated unless it watches the store. In a test of six daemons two of them still did so 3 s after the first request had been served again.

Ruled out: the backoff of dials, which ends after 2 s at most, and sessions that do not answer, which pings close during the cut.

Change: a daemon whose last exchange with another availability zone is 1.25 s old exchanges with up to three of them at once, with faulty members if it knows no others.

--- a/internal/core/gossip/peers.go
+++ b/internal/core/gossip/peers.go
@@ -141,6 +141,30 @@
 	return append(chosen, spare[:min(len(spare), Helpers-len(chosen))]...)
 }
 
+// ZonePeers returns up to count members of other availability zones, at most
+// one of each. They are faulty ones if there are no others, which is so for a
+// member that was cut off from all other availability zones.
+func (n *Node) ZonePeers(count int) []string {
+	n.rings()
+	names := n.other.names
+	if len(names) == 0 {
+		names = n.faulty
+	}
+	peers := make([]string, 0, count)
+	zones := map[string]bool{n.settings.AvailabilityZone: true}
+	for _, i := range n.random.Perm(len(names)) {
+		if len(peers) == count {
+			break
+		}
+		if zone := n.Zone(names[i]); !zones[zone] {
+			zones[zone] = true
+			peers = append(peers, names[i])
+		}
+	}
+
+	return peers
+}
+
 func (n *Node) pick() (string, bool) {
 	names := n.other.names
 	if len(names) == 0 || len(n.own.names) > 0 && n.random.IntN(100) < ownShare {
--- a/internal/daemon/membership/loops.go
+++ b/internal/daemon/membership/loops.go
@@ -29,6 +29,12 @@
 	// no multiple of a usual number of seeds, so that all have their turn.
 	seedPeriods  = 61
 	tickInterval = 250 * time.Millisecond
+	// refreshAfter is longer than the period of the probes of other availability
+	// zones and leaves an exchange 500 ms before the daemon counts as isolated
+	// after 2 s.
+	refreshAfter = 1250 * time.Millisecond
+	// refreshPeers is the number of availability zones tried at once.
+	refreshPeers = 3
 	// versionDelay times the square of the number of members is the greatest
 	// delay before a changed configuration version is announced alone: 3 s at 32
 	// members. An announcement costs each member about 2.4 KB with 43 upstreams,
@@ -241,6 +247,32 @@
 	}
 }
 
+// refresh exchanges with several other availability zones when the regular
+// probes have reached none for a while. A daemon that was cut off for longer
+// than the failure detector waits regards all of them as faulty, and would
+// otherwise try one of them in ten periods only.
+func (m *Membership) refresh() {
+	for pause(m.ctx, tickInterval) {
+		contact := m.LastContact()
+		if !contact.KnewOtherZone || time.Since(contact.OtherZone) < refreshAfter {
+			continue
+		}
+		var peers []string
+		m.replica.With(func(node *gossip.Node, _ time.Time) { peers = node.ZonePeers(refreshPeers) })
+		for _, peer := range peers {
+			m.loops.Go(func() {
+				m.counters.Exchanges.Add(1)
+				_, ok := m.replica.Synchronize(m.ctx, func(frame *peerpb.Frame) (*peerpb.Frame, bool) {
+					return m.call(m.ctx, peer, frame)
+				})
+				if !ok {
+					m.counters.ExchangeFailures.Add(1)
+				}
+			})
+		}
+	}
+}
+
 func (m *Membership) tick() {
 	for pause(m.ctx, tickInterval) {
 		m.replica.With(func(node *gossip.Node, now time.Time) { node.Tick(now) })
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -121,7 +121,7 @@
 	m.replica = NewReplica(node)
 	m.replica.Call = m.call
 	m.replica.Changed = m.changed
-	for _, loop := range []func(){m.join, m.spread, m.probe, m.synchronize, m.tick, m.announceVersion, m.raise} {
+	for _, loop := range []func(){m.join, m.spread, m.probe, m.synchronize, m.refresh, m.tick, m.announceVersion, m.raise} {
 		m.loops.Go(loop)
 	}
 
--- a/internal/daemon/membership/membership_test.go
+++ b/internal/daemon/membership/membership_test.go
@@ -224,6 +224,33 @@
 	})
 }
 
+// Guards against a daemon that goes on refusing keyed requests after a cut that
+// was longer than the failure detector waits.
+func TestContactAfterCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, members, stops := startFleet(6)
+		defer stopAll(stops)
+		cut := func(is func(from, to string) bool) {
+			e.mu.Lock()
+			e.cut = is
+			e.mu.Unlock()
+		}
+		even := func(name string) bool { return name == "d0" || name == "d2" || name == "d4" }
+		for range 5 {
+			cut(func(from, to string) bool { return even(from) != even(to) })
+			time.Sleep(20 * time.Second)
+			cut(nil)
+			time.Sleep(2 * time.Second)
+			for i, m := range members {
+				if age := time.Since(m.LastContact().OtherZone); age > 2*time.Second {
+					t.Errorf("got no contact of member %d for %v, want some within 2 s of the end of the cut", i, age)
+				}
+			}
+			time.Sleep(20 * time.Second)
+		}
+	})
+}
+
 // Guards against a slow subscriber that holds up the daemon or misses a last
 // change.
 func TestSlowSubscriber(t *testing.T) {
