--- a/internal/daemon/membership/contact.go
+++ b/internal/daemon/membership/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,7 +81,16 @@
 		case <-m.missed:
 		}
 		var peers []string
-		m.replica.With(func(node *gossip.Node, _ time.Time) { peers = node.Peers(catchUpPeers) })
+		m.replica.With(func(node *gossip.Node, _ time.Time) {
+			peers = node.Peers(catchUpPeers)
+			// After a long gap all others may be thought faulty, and contact
+			// with another availability zone is what counts.
+			for _, peer := range node.ZonePeers(refreshPeers) {
+				if !slices.Contains(peers, peer) {
+					peers = append(peers, peer)
+				}
+			}
+		})
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(m.ctx, catchUpTimeout)
 		var (
