--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -96,6 +96,8 @@
 		d.running.Wait()
 	})
 
+	d.running.Go(func() { tuneCollection(ctx) })
+
 	for _, start := range []func(context.Context) error{
 		d.startMembership, d.startControl, d.startData, d.startAnnouncements, d.startOperator, d.startFront,
 	} {
