--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -10,11 +10,15 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/accounts"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/capacity"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/health"
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/limits"
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/membership"
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/publication"
 	"github.com/kumquatshelf/kumquatshelf/internal/bench/table"
 )
 
 type arguments struct {
 	Seeds    int    `arg:"--seeds" default:"4" help:"runs per measure, each with its own fixed seed"`
+	Full     bool   `arg:"--full" help:"also the detection curve, long scenarios and the target size of membership, which needs 6 GB"`
 	Capacity bool   `arg:"--capacity" help:"print the cost at the target instead, which takes a minute"`
 	Match    string `arg:"--match" help:"with --capacity, only costs whose description contains this"`
 }
@@ -25,7 +29,9 @@
 		return []table.Section{capacity.Section(args.Match)}
 	}
 
-	return []table.Section{health.Section, accounts.Section}
+	return []table.Section{
+		health.Section(args.Full), accounts.Section, limits.Section(args.Full), membership.Section(args.Full), publication.Section,
+	}
 }
 
 func main() {
--- /dev/null
+++ b/internal/bench/publication/section.go
@@ -0,0 +1,32 @@
+package publication
+
+import (
+	"fmt"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/bench/table"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+)
+
+// Section compares the layouts of a publication at the target size.
+var Section = table.Section{Name: "publication", Run: func(int) []table.Row {
+	layouts := BytesPerChange(Target)
+	chosen := len(layouts) - 1
+	row := func(measure, bound string, value func(Row) int) table.Row {
+		r := table.Row{
+			Measure: measure, Setting: fmt.Sprintf("%d teams", Target.Teams),
+			Policy: fmt.Sprint(value(layouts[chosen])), Bound: bound,
+		}
+		for _, l := range layouts[:chosen] {
+			r.Baselines = append(r.Baselines, table.Baseline{Name: l.Layout, Value: fmt.Sprint(value(l))})
+		}
+
+		return r
+	}
+
+	return []table.Row{
+		row("bytes read by a daemon per change", "", func(r Row) int { return r.ReadBytes }),
+		row("bytes per second and daemon", "≤ 3000 (all of the control plane)", func(r Row) int { return int(r.BytesPerSecond) }),
+		row("bytes of the largest object", fmt.Sprintf("≤ %d", fleet.MaxObjectBytes), func(r Row) int { return r.LargestObject }),
+		row("objects written per change", "", func(r Row) int { return r.Writes }),
+	}
+}}
