Let requests with little time left come last

Under overload the expected wait admits requests up to their deadline, so most started with just enough time to time out while they ran. Refusing them at arrival was ruled out: what can start in time must be queued (TestExpectedWait). Pop now passes over items with less than two average service times left, as long as another one waits.

--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -44,6 +44,10 @@
 // TCP's round-trip estimator (RFC 6298): about 8 requests of memory.
 const serviceGain = 0.125
 
+// finishMargin is the time an item should have left when it starts, in average
+// service times. Requests that time out while they run waste their slot.
+const finishMargin = 2
+
 type account struct {
 	name    string
 	weight  int64
@@ -124,34 +128,63 @@
 	q.length++
 }
 
-// Pop removes the next item to start. Items whose deadline has passed are
+// Pop removes the next item to start. Items with less time left than two average
+// services come last, whatever their account. Items whose deadline has passed are
 // removed on the way and returned; they must not run.
 func (q *Queue) Pop(now time.Time) (next Item, found bool, expired []Item) {
 	expired = q.Expire(now)
 	if q.length == 0 {
 		return Item{}, false, expired
 	}
+	// Items that would probably not finish in time run only if no other waits.
+	finishBy := now.Add(finishMargin * q.service)
+	if !q.anyAfter(finishBy) {
+		finishBy = now
+	}
 	cost := q.cost()
 	for {
 		entry := q.ring[q.turn]
-		if !q.credited {
+		index := entry.firstAfter(finishBy)
+		if !q.credited && index >= 0 {
 			entry.deficit += entry.weight
 			q.credited = true
 		}
-		if entry.deficit < cost {
+		if entry.deficit < cost || index < 0 {
 			q.turn = (q.turn + 1) % len(q.ring)
 			q.credited = false
 
 			continue
 		}
 		entry.deficit -= cost
-		next = entry.items[0]
-		q.removeAt(entry, 0)
+		next = entry.items[index]
+		q.removeAt(entry, index)
 
 		return next, true, expired
 	}
 }
 
+func (q *Queue) anyAfter(finishBy time.Time) bool {
+	for _, entry := range q.ring {
+		if entry.firstAfter(finishBy) >= 0 {
+			return true
+		}
+	}
+
+	return false
+}
+
+// firstAfter returns the index of the first item whose deadline is after a
+// time, or -1.
+func (a *account) firstAfter(finishBy time.Time) int {
+	for i := range a.items {
+		if a.items[i].Deadline.After(finishBy) {
+			return i
+		}
+	}
+
+	return -1
+}
+
 // Expire removes and returns the items whose deadline has passed.
 func (q *Queue) Expire(now time.Time) []Item {
 	return q.removeIf(func(item Item) bool { return !now.Before(item.Deadline) })
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -268,3 +268,30 @@
 		}
 	}
 }
+
+// Guards against slots that are lost to requests which time out while they
+// run, and against refusing these although no other request waits. The service
+// time is 30 ms.
+func TestLittleTimeLeftComesLast(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		budgets []time.Duration
+		want    string
+	}{
+		"time left":            {[]time.Duration{70 * time.Millisecond, time.Second, time.Second}, "abc"},
+		"little time left":     {[]time.Duration{40 * time.Millisecond, time.Second, time.Second}, "bca"},
+		"little left for each": {[]time.Duration{40 * time.Millisecond, 40 * time.Millisecond}, "ab"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			q := New(20)
+			for i, budget := range tt.budgets {
+				q.Push(item(rune('a'+i), i+1, budget), 3, 0, epoch)
+			}
+			q.Served(30 * time.Millisecond)
+			if got := order(q, epoch); got != tt.want {
+				t.Errorf("got order %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
