Test withdrawn keys with real processes

The test withdraws a key in a fleet of 6 daemons while callers use it at each daemon on open HTTP/1.1 and HTTP/2 connections and one reads a large answer slowly: with the store up and away, with its answer lost, with a daemon frozen, and with 3 daemons frozen until the others think them faulty. No request sent 3 s after the withdrawal may run, the large answer must end within 3 s, the store must get the withdrawal, and no upstream may see the key, which callers also put into headers, cookies, the query and the path. 20 withdrawals that race the giving of their keys must win.

Large answers are read from a service with a deadline of 30 s: an egress ends an answer at the deadline of its service, 2 s for Calendar, also for a caller that is still reading.

--- a/internal/standin/cluster/fixture_test.go
+++ b/internal/standin/cluster/fixture_test.go
@@ -24,12 +24,24 @@
 	// maxFleets bounds how many fleets run at once, for the machine's sake.
 	maxFleets = 3
 	// services is the number of services, each with an upstream per daemon.
-	services = 4
+	services = 5
 )
 
 // testingTeam adds client accounts whose rate the traffic of a test stays
-// below, to the example configuration.
+// below, and a service whose deadline leaves time for slow readers, to the
+// example configuration.
 const testingTeam = `Team = Testing
+[Service Archive]
+Floor = 50%
+Deadline = 30s
+DetectionThreshold = 8
+[Route ArchiveRead]
+Service = Archive
+Host = estanques.example
+PathPrefix = /archive
+Methods = GET
+Idempotent = true
+Open = false
 [ClientAccount Harbour]
 Rate = 400/s
 Burst = 800
@@ -94,7 +106,7 @@
 
 	running, stop, err := cluster.New(t.Context(), cluster.Plan{
 		Bin: bin, Dir: dir, Zones: []string{"a", "b", "c"}, Daemons: daemons,
-		Services: []string{"Calendar", "Booking", "Notice", "Launch"}, Slots: 3, ServiceTime: 10 * time.Millisecond,
+		Services: []string{"Calendar", "Booking", "Notice", "Launch", "Archive"}, Slots: 3, ServiceTime: 10 * time.Millisecond,
 	})
 	if err != nil {
 		<-fleets
--- /dev/null
+++ b/internal/standin/cluster/keys_test.go
@@ -0,0 +1,397 @@
+package cluster_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/adapter/operator"
+	"github.com/kumquatshelf/kumquatshelf/internal/adapter/platform"
+	"github.com/kumquatshelf/kumquatshelf/internal/config/keystore"
+	corefleet "github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/standin/cluster"
+	"github.com/kumquatshelf/kumquatshelf/internal/standin/load"
+)
+
+const (
+	// withdrawalBound is R4's bound.
+	withdrawalBound = 3 * time.Second
+	// storeBound is within which a withdrawal is in the store after an outage.
+	// It is configurationBound, because R4 sets none for the store.
+	storeBound = configurationBound
+	// streamBytes at streamRate bytes per second last for 8 s.
+	streamBytes = 16 << 20
+	streamRate  = 2 << 20
+)
+
+// Guards against a withdrawn key that works for longer than 3 s at any daemon,
+// on open connections of both HTTP versions and for an answer in flight, and
+// against a withdrawal that the store never gets.
+func TestWithdrawnKeyStopsEverywhere(t *testing.T) {
+	t.Parallel()
+
+	for name, withdraw := range map[string]func(*fleet){
+		"StoreUp": func(f *fleet) { f.client(f.keys["Harbour"]+"\n", "key", "withdraw") },
+		"StoreAway": func(f *fleet) {
+			f.must(f.SetFaults(f.t.Context(), `{"Outage": true}`))
+			f.withdrawAt(f.Daemons[0])
+			time.AfterFunc(2*withdrawalBound, func() { f.must(f.SetFaults(context.Background(), `{}`)) })
+		},
+		"AnswerLost": func(f *fleet) {
+			f.must(f.SetFaults(f.t.Context(), `{"LoseAnswers": 1}`))
+			f.client(f.keys["Harbour"]+"\n", "key", "withdraw")
+		},
+		"DaemonFrozen": func(f *fleet) {
+			f.must(f.PauseDaemon(f.Daemons[1]))
+			time.Sleep(300 * time.Millisecond)
+			f.withdrawAt(f.Daemons[0])
+			time.AfterFunc(withdrawalBound+time.Second, func() { f.must(f.ResumeDaemon(f.Daemons[1])) })
+		},
+		"DaemonFrozenStoreAway": func(f *fleet) {
+			f.must(f.SetFaults(f.t.Context(), `{"Outage": true}`))
+			f.must(f.PauseDaemon(f.Daemons[1]))
+			time.Sleep(300 * time.Millisecond)
+			f.withdrawAt(f.Daemons[0])
+			time.AfterFunc(withdrawalBound+time.Second, func() {
+				f.must(f.ResumeDaemon(f.Daemons[1]))
+				time.Sleep(withdrawalBound)
+				f.must(f.SetFaults(context.Background(), `{}`))
+			})
+		},
+		// Members that are thought faulty get no rumors, so that a daemon which
+		// runs on has nothing waiting that tells it of the withdrawal.
+		"DaemonsThoughtFaulty": func(f *fleet) {
+			f.must(f.SetFaults(f.t.Context(), `{"Outage": true}`))
+
+			f.withdrawAt(f.Daemons[0])
+			time.AfterFunc(withdrawalBound+time.Second, func() {
+				for _, daemon := range f.Daemons[3:] {
+					f.must(f.ResumeDaemon(daemon))
+				}
+
+				time.Sleep(withdrawalBound)
+				f.must(f.SetFaults(context.Background(), `{}`))
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 6, "Harbour", "Sluice")
+			ctx, cancel := context.WithCancel(t.Context())
+
+			var (
+				callers sync.WaitGroup
+				mu      sync.Mutex
+				uses    []use
+			)
+
+			for _, daemon := range f.Daemons {
+				for version := 1; version <= 2; version++ {
+					callers.Go(func() {
+						list := f.callOften(ctx, daemon, version)
+
+						mu.Lock()
+						defer mu.Unlock()
+
+						uses = append(uses, list...)
+					})
+				}
+			}
+
+			var began, cut time.Time
+
+			if name == "DaemonsThoughtFaulty" {
+				time.Sleep(time.Second)
+
+				for _, daemon := range f.Daemons[3:] {
+					f.must(f.PauseDaemon(daemon))
+				}
+
+				time.Sleep(7 * time.Second)
+			}
+
+			// An answer that a frozen daemon carries may be cut for that reason, so
+			// that only a fleet without one shows that other answers go on.
+			callers.Go(func() { began, cut = f.readSlowly(f.Daemons[2], "Harbour", true) })
+
+			if !strings.HasPrefix(name, "Daemon") {
+				callers.Go(func() { f.readSlowly(f.Daemons[3], "Sluice", false) })
+			}
+
+			time.Sleep(time.Second)
+
+			withdraw(f)
+
+			// Requests sent 3 s after the withdrawal had returned are late in any
+			// case.
+			withdrawn := time.Now()
+
+			time.Sleep(time.Until(withdrawn.Add(3 * withdrawalBound)))
+			cancel()
+			callers.Wait()
+
+			f.judgeUses(uses, withdrawn)
+
+			switch {
+			case began.After(withdrawn):
+				// A frozen daemon held the request up, so that it was no answer in
+				// flight at the withdrawal.
+				t.Logf("the answer began %s and ended %s after the withdrawal", began.Sub(withdrawn), cut.Sub(withdrawn))
+			case cut.After(withdrawn.Add(withdrawalBound)):
+				t.Errorf("the answer of the withdrawn key ended %s after the withdrawal, want at most %s",
+					cut.Sub(withdrawn), withdrawalBound)
+			}
+
+			f.within(storeBound, "the store has the withdrawal", func() bool { return f.withdrawnInStore(f.keys["Harbour"]) })
+			f.runs()
+		})
+	}
+}
+
+// use is a request with the key.
+type use struct {
+	sent    time.Time
+	ran     bool
+	where   string
+	outcome string
+}
+
+func (f *fleet) judgeUses(uses []use, withdrawn time.Time) {
+	f.t.Helper()
+
+	before, late := 0, map[string]int{}
+	last := make(map[string]time.Duration)
+
+	for _, one := range uses {
+		switch {
+		case one.ran && one.sent.Before(withdrawn):
+			before++
+		case one.ran && one.sent.Sub(withdrawn) > withdrawalBound:
+			late[one.where]++
+			last[one.where] = max(last[one.where], one.sent.Sub(withdrawn))
+		}
+	}
+
+	f.t.Logf("%d requests, %d ran before the withdrawal", len(uses), before)
+
+	if before == 0 {
+		f.t.Error("no request ran before the withdrawal")
+	}
+
+	for where, count := range late {
+		f.t.Errorf("%s served %d requests sent more than %s after the withdrawal, the last after %s",
+			where, count, withdrawalBound, last[where])
+	}
+}
+
+// withdrawAt withdraws the key at one daemon, without the store.
+func (f *fleet) withdrawAt(daemon *cluster.Daemon) {
+	client, closeClient := operator.NewClient("test")
+	defer closeClient()
+
+	_, outcome := client.WithdrawKey(f.t.Context(), daemon.Operator, keystore.Hash(f.keys["Harbour"]))
+	if outcome != operator.Confirmed {
+		f.t.Errorf("withdrawal at %s: got %s, want Confirmed", daemon.Name, outcome)
+	}
+}
+
+func (f *fleet) withdrawnInStore(key string) bool {
+	store, closeStore := f.store()
+	defer closeStore()
+
+	object, outcome := store.Get(f.t.Context(), keystore.Kind, keystore.Hash(key))
+	stored, ok := keystore.Decode(object)
+
+	return outcome == corefleet.StoreOK && ok && stored.Withdrawn
+}
+
+func (f *fleet) store() (*platform.Client, func()) {
+	return platform.New(f.Platform.String(), platform.Options{})
+}
+
+// newCaller returns a caller that keeps its connections open.
+func newCaller(version int) (*http.Client, func()) {
+	transport := &http.Transport{Protocols: &http.Protocols{}, DialContext: (&net.Dialer{
+		// A small buffer lets a slow reader hold up the daemon.
+		Control: func(_, _ string, connection syscall.RawConn) error {
+			return connection.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10)
+			})
+		},
+	}).DialContext}
+	transport.Protocols.SetHTTP1(version == 1)
+	transport.Protocols.SetUnencryptedHTTP2(version == 2)
+
+	return &http.Client{Transport: transport}, transport.CloseIdleConnections
+}
+
+// callOften sends requests with the key in many places until ctx ends.
+func (f *fleet) callOften(ctx context.Context, daemon *cluster.Daemon, version int) []use {
+	client, closeClient := newCaller(version)
+	defer closeClient()
+
+	var uses []use
+
+	key := f.keys["Harbour"]
+
+	for n := 0; ctx.Err() == nil; n++ {
+		request, err := http.NewRequestWithContext(context.WithoutCancel(ctx), http.MethodGet,
+			"http://"+daemon.Caller.String()+"/calendar/pond?Token="+key, http.NoBody)
+		if err != nil {
+			f.must(err)
+
+			return uses
+		}
+
+		if n%10 == 9 {
+			request.URL.Path = "/calendar/" + key
+		}
+
+		request.Host = host
+		request.Header.Set(load.RequestIDHeader, fmt.Sprintf("%s-%d-%d", daemon.Name, version, n))
+		request.Header.Set("Authorization", "Bearer "+key)
+		request.Header.Set("Copy", "copy of "+key)
+		request.AddCookie(&http.Cookie{Name: "Copy", Value: key})
+
+		one := use{sent: time.Now(), where: fmt.Sprintf("%s over HTTP/%d", daemon.Name, version)}
+
+		answer, err := client.Do(request)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+			one.outcome = answer.Header.Get(load.OutcomeHeader)
+			one.ran = one.outcome == string(load.Ran)
+		}
+
+		uses = append(uses, one)
+
+		time.Sleep(20 * time.Millisecond)
+	}
+
+	return uses
+}
+
+// readSlowly reads a large answer and returns when it began and ended. It must
+// be cut or complete, as the caller wants.
+func (f *fleet) readSlowly(daemon *cluster.Daemon, account string, wantCut bool) (began, ended time.Time) {
+	client, closeClient := newCaller(1)
+	defer closeClient()
+
+	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodGet,
+		fmt.Sprintf("http://%s/archive/pond?Length=%d", daemon.Caller, streamBytes), http.NoBody)
+	if err != nil {
+		f.must(err)
+
+		return began, ended
+	}
+
+	request.Host = host
+	request.Header.Set(load.RequestIDHeader, "stream-"+account)
+	request.Header.Set("Authorization", "Bearer "+f.keys[account])
+
+	answer, err := client.Do(request)
+	// An attempt at the upstream of a frozen daemon fails.
+	for tries := 0; err == nil && answer.StatusCode != http.StatusOK && tries < 10; tries++ {
+		_ = answer.Body.Close()
+		answer, err = client.Do(request)
+	}
+
+	if err != nil {
+		f.must(err)
+
+		return began, ended
+	}
+
+	defer func() { _ = answer.Body.Close() }()
+
+	if answer.StatusCode != http.StatusOK {
+		f.t.Errorf("the large answer to %s has status %d, want 200", account, answer.StatusCode)
+
+		return began, ended
+	}
+
+	began = time.Now()
+
+	const perSecond = 50
+
+	for err == nil {
+		_, err = io.CopyN(io.Discard, answer.Body, streamRate/perSecond)
+
+		time.Sleep(time.Second / perSecond)
+	}
+
+	if cut := !errors.Is(err, io.EOF); cut != wantCut {
+		f.t.Errorf("the answer to %s ended with %v, want a cut: %v", account, err, wantCut)
+	}
+
+	return began, time.Now()
+}
+
+// Guards against a key that works although it was withdrawn while it was given.
+func TestWithdrawalRacingGiveWins(t *testing.T) {
+	const count = 20
+
+	f := start(t, 4, "Harbour")
+	store, closeStore := f.store()
+	random := rand.New(rand.NewPCG(3, 0))
+
+	defer closeStore()
+
+	var group sync.WaitGroup
+
+	for n := range count {
+		name := fmt.Sprintf("Racing%d", n)
+		f.keys[name] = fmt.Sprintf("racing-key-%032d", n)
+		hash := keystore.Hash(f.keys[name])
+		first, second := time.Duration(random.IntN(5))*time.Millisecond, time.Duration(random.IntN(5))*time.Millisecond
+
+		group.Go(func() {
+			time.Sleep(first)
+			keystore.Give(t.Context(), store, hash, "Harbour")
+		})
+		group.Go(func() {
+			time.Sleep(second)
+
+			if n%2 == 0 {
+				if _, outcome := keystore.Withdraw(t.Context(), store, hash, "Harbour"); outcome != corefleet.StoreOK {
+					t.Errorf("withdrawal in the store: got %s, want OK", outcome)
+				}
+
+				return
+			}
+
+			client, closeClient := operator.NewClient("test")
+			defer closeClient()
+
+			if _, outcome := client.WithdrawKey(t.Context(), f.Daemons[n%len(f.Daemons)].Operator, hash); outcome != operator.Confirmed {
+				t.Errorf("withdrawal at a daemon: got %s, want Confirmed", outcome)
+			}
+		})
+	}
+
+	group.Wait()
+	time.Sleep(withdrawalBound)
+
+	client, closeClient := load.New(f.Callers(), "racing", callTimeout)
+	defer closeClient()
+
+	for n := range count {
+		stream := f.stream(fmt.Sprintf("Racing%d", n), "GET", "/calendar/pond", 1)
+
+		for _, daemon := range f.Callers() {
+			if result := client.Do(t.Context(), stream, "racing", daemon); result.Status != http.StatusUnauthorized {
+				t.Errorf("key %d at %s: got %s with status %d, want 401", n, daemon, result.Verdict, result.Status)
+			}
+		}
+
+		f.within(storeBound, "the store has the withdrawal", func() bool { return f.withdrawnInStore(stream.Key) })
+	}
+}
