Test publications with real processes

The test publishes to 6 daemons with the operators' client while it samples each daemon's version: teams that race both take effect, of three publishers of one team one wins and the others are told of the conflict, lost answers of the store do not make a publication fail, a rejected one changes nothing, a daemon frozen for 4 versions comes up to the newest, and a daemon that restarts without the store gets it from its peers.

--- /dev/null
+++ b/internal/standin/cluster/configuration_test.go
@@ -0,0 +1,258 @@
+package cluster_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/exec"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/adapter/operator"
+	"github.com/kumquatshelf/kumquatshelf/internal/standin/cluster"
+)
+
+// Exit codes of the operators' client.
+const (
+	exitRejected = 1
+	exitConflict = 4
+)
+
+// Guards against publications that are lost, reverted or in force on some
+// daemons only, when publishers race, an acknowledgement is lost, a daemon
+// restarts without the store or is frozen for several versions.
+func TestConfigurationTakesEffectOnceAndStays(t *testing.T) {
+	f := start(t, 6, "Harbour")
+	w, stop := f.watchVersions()
+
+	f.raceTeams()
+	f.raceOneTeam()
+
+	f.must(f.SetFaults(t.Context(), `{"LoseAnswers": 2}`))
+	f.inForce(f.publish("Lost", "LostAnswer", 0), "LostAnswer")
+	f.must(f.SetFaults(t.Context(), `{}`))
+
+	before, _ := f.status(f.Daemons[0])
+	f.publish("Rejected", "Wrong]\nRate = 0/s\nBurst = 1\n[ClientAccount Other", exitRejected)
+
+	frozen := f.Daemons[4]
+	f.must(f.PauseDaemon(frozen))
+
+	var newest uint64
+
+	for n := range 4 {
+		newest = f.publish("Frozen", fmt.Sprintf("Frozen%d", n), 0)
+		if n == 0 && newest != before.ConfigurationVersion+1 {
+			t.Errorf("got version %d after a rejected publication, want %d", newest, before.ConfigurationVersion+1)
+		}
+	}
+
+	f.must(f.ResumeDaemon(frozen))
+	f.inForce(newest, "Frozen3")
+
+	f.must(f.SetFaults(t.Context(), `{"Outage": true}`))
+
+	restarted := f.Daemons[2]
+	f.must(f.KillDaemon(restarted))
+	w.restarted(restarted.Name)
+	f.must(f.StartDaemon(restarted))
+	f.inForce(newest, "Frozen3")
+	f.must(f.SetFaults(t.Context(), `{}`))
+	time.Sleep(2 * time.Second)
+	stop()
+
+	if w.samples == 0 || w.changes < 8*len(f.Daemons) {
+		t.Errorf("got %d samples with %d changes of a version, want at least %d changes", w.samples, w.changes, 8*len(f.Daemons))
+	}
+}
+
+// publish publishes a team with one client account and returns its version.
+// The client must end with the given exit code.
+func (f *fleet) publish(team, account string, want int) uint64 {
+	f.t.Helper()
+
+	version, code := f.tryPublish(team, account)
+	if code != want {
+		f.t.Errorf("publishing %s: got exit code %d, want %d", team, code, want)
+	}
+
+	return version
+}
+
+func (f *fleet) tryPublish(team, account string) (version uint64, code int) {
+	text := fmt.Sprintf("Team = %s\n[ClientAccount %s]\nRate = 10/s\nBurst = 20\n", team, account)
+	path := f.file(fmt.Sprintf("%s-%d.ini", team, time.Now().UnixNano()), text)
+
+	output, err := f.ClientInput(f.t.Context(), "", "--operator", "test", "publish", "--wait", "1s", path)
+
+	var exit *exec.ExitError
+
+	switch {
+	case errors.As(err, &exit):
+		return 0, exit.ExitCode()
+	case err != nil:
+		f.t.Error(err)
+
+		return 0, -1
+	}
+
+	if _, err := fmt.Sscanf(output, "version %d is published", &version); err != nil {
+		f.t.Errorf("output %q: %v", output, err)
+	}
+
+	return version, 0
+}
+
+// inForce waits until all daemons run at least a version with the accounts.
+func (f *fleet) inForce(version uint64, accounts ...string) {
+	f.t.Helper()
+
+	deadline := time.Now().Add(configurationBound)
+
+	for _, daemon := range f.Daemons {
+		f.within(time.Until(deadline), fmt.Sprintf("%s runs version %d with %v", daemon.Name, version, accounts), func() bool {
+			status, ok := f.status(daemon)
+
+			return ok && status.ConfigurationVersion >= version && !slices.ContainsFunc(accounts, func(name string) bool {
+				return !hasAccount(status, name)
+			})
+		})
+	}
+}
+
+func hasAccount(status operator.Status, name string) bool {
+	return slices.ContainsFunc(status.ClientAccounts, func(one operator.ClientAccount) bool { return one.Name == name })
+}
+
+func (f *fleet) raceTeams() {
+	f.t.Helper()
+
+	const teams = 4
+
+	var (
+		group    sync.WaitGroup
+		mu       sync.Mutex
+		newest   uint64
+		accounts []string
+	)
+
+	for n := range teams {
+		group.Go(func() {
+			account := fmt.Sprintf("Parallel%d", n)
+			version := f.publish(fmt.Sprintf("Parallel%d", n), account, 0)
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			newest = max(newest, version)
+			accounts = append(accounts, account)
+		})
+	}
+
+	group.Wait()
+	f.inForce(newest, accounts...)
+}
+
+// raceOneTeam makes the store slow, so that the publishers overlap.
+func (f *fleet) raceOneTeam() {
+	f.t.Helper()
+	f.must(f.SetFaults(f.t.Context(), `{"Latency": "300ms"}`))
+
+	const publishers = 3
+
+	versions, codes := make([]uint64, publishers), make([]int, publishers)
+
+	var group sync.WaitGroup
+
+	for n := range publishers {
+		group.Go(func() { versions[n], codes[n] = f.tryPublish("SameTeam", fmt.Sprintf("SameTeam%d", n)) })
+	}
+
+	group.Wait()
+	f.must(f.SetFaults(f.t.Context(), `{}`))
+
+	winner := slices.Index(codes, 0)
+	if sorted := slices.Sorted(slices.Values(codes)); winner < 0 || !slices.Equal(sorted, []int{0, exitConflict, exitConflict}) {
+		f.t.Fatalf("got exit codes %v, want one 0 and the others %d", codes, exitConflict)
+	}
+
+	f.inForce(versions[winner], fmt.Sprintf("SameTeam%d", winner))
+
+	status, _ := f.status(f.Daemons[0])
+	for n := range publishers {
+		if account := fmt.Sprintf("SameTeam%d", n); n != winner && hasAccount(status, account) {
+			f.t.Errorf("%s is in force, although its publisher was told of a conflict", account)
+		}
+	}
+}
+
+// watcher samples the version that each daemon runs.
+type watcher struct {
+	mu               sync.Mutex
+	last             map[string]uint64
+	samples, changes int
+	fresh            map[string]bool
+}
+
+// restarted allows a daemon to have no version until it has installed one.
+func (w *watcher) restarted(daemon string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.fresh[daemon] = true
+}
+
+// watchVersions samples until the returned function is called. No daemon may
+// run an older version than it ran before.
+func (f *fleet) watchVersions() (*watcher, func()) {
+	w := &watcher{last: make(map[string]uint64), fresh: make(map[string]bool)}
+	ctx, cancel := context.WithCancel(f.t.Context())
+
+	var group sync.WaitGroup
+
+	for _, daemon := range f.Daemons {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				f.sample(ctx, w, daemon)
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+
+	return w, func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+func (f *fleet) sample(ctx context.Context, w *watcher, daemon *cluster.Daemon) {
+	client, closeClient := operator.NewClient("test")
+	defer closeClient()
+
+	status, outcome := client.Status(ctx, daemon.Operator)
+	if outcome != operator.Confirmed {
+		return
+	}
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	got, last := status.ConfigurationVersion, w.last[daemon.Name]
+	w.samples++
+
+	if got == 0 && w.fresh[daemon.Name] {
+		return
+	}
+
+	if got < last {
+		f.t.Errorf("%s runs version %d after version %d", daemon.Name, got, last)
+	}
+
+	if got > last {
+		w.changes++
+	}
+
+	w.last[daemon.Name] = got
+}
