--- a/internal/standin/cluster/control.go
+++ b/internal/standin/cluster/control.go
@@ -89,6 +89,27 @@
 	return ran, leaks, nil
 }
 
+// Record returns what the upstream of the given name has seen.
+func (c *Cluster) Record(ctx context.Context, name string) (upstream.Record, error) {
+	var record upstream.Record
+
+	for _, d := range c.Daemons {
+		service, own := strings.CutPrefix(name, d.Name+"-")
+		if !own {
+			continue
+		}
+
+		addresses, err := d.upstreamAddresses(ctx)
+		if err != nil {
+			return record, err
+		}
+
+		return record, getJSON(ctx, "http://"+addresses[service].String()+"/Record", &record)
+	}
+
+	return record, fmt.Errorf("no daemon has an upstream %q", name)
+}
+
 func count(values, keys []string) int {
 	found := 0
 
