--- a/internal/standin/cluster/control.go
+++ b/internal/standin/cluster/control.go
@@ -99,7 +99,7 @@
 			continue
 		}
 
-		addresses, err := d.upstreamAddresses(ctx)
+		addresses, err := d.UpstreamAddresses(ctx)
 		if err != nil {
 			return record, err
 		}
