Try slow upstreams again as their latency ages

The balancer avoided it after its first slow answer, so that each ingress sent it one request a minute and the arbiter had no evidence. Ruled out: the arbiter's wait after a takeover, which is over by then; more evidence per answer, whose step is bounded on purpose. TestChooseTriesSlowUpstreamAgain showed 1 request a minute before.

--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -152,7 +153,9 @@
 func (t *Tracker) score(c *Candidate, now time.Time) float64 {
 	s := t.of(c.Upstream)
 
-	latency := s.latency
+	// An old latency counts for less, so that a slow upstream is tried now and
+	// then: it may have recovered, and the arbiter needs evidence about it.
+	latency := s.latency * math.Exp(-now.Sub(s.latencyAt).Seconds()/latencyDecay.Seconds())
 	if s.latencyAt.IsZero() {
 		latency = unknownLatency.Seconds()
 	}
--- a/internal/core/balance/choose_test.go
+++ b/internal/core/balance/choose_test.go
@@ -125,6 +125,36 @@
 	}
 }
 
+// TestChooseTriesSlowUpstreamAgain guards against an upstream that was slow once
+// getting no request any more, so that neither its recovery nor its failure is
+// noticed. The traffic is that of one ingress of Lima.
+func TestChooseTriesSlowUpstreamAgain(t *testing.T) {
+	t.Parallel()
+
+	tracker, random, list := NewTracker(), newRandom(), candidates(8)
+	now := time.Unix(1000, 0)
+	slow := 0
+
+	for range 60 * 14 {
+		i, _ := tracker.Choose(list, Request{}, now, random)
+
+		latency := 15 * time.Millisecond
+		if i == 0 {
+			latency = 150 * time.Millisecond
+			slow++
+		}
+
+		tracker.Started(list[i].Upstream)
+		now = now.Add(time.Second / 14)
+		tracker.Finished(list[i].Upstream, fleet.Load{Slots: 3, InFlight: 1}, latency, now)
+	}
+
+	// Of an even share of 105, at least one in 10 seconds and at most a fifth.
+	if slow < 6 || slow > 21 {
+		t.Errorf("requests at the slow upstream in a minute: got %d, want 6 to 21", slow)
+	}
+}
+
 // TestAbandonedCountsAsSlow guards against hedges hiding a slow upstream: its
 // attempts are cancelled before they are answered.
 func TestAbandonedCountsAsSlow(t *testing.T) {
