--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -20,8 +20,6 @@
 	probationShare = 0.1
 	// sheddingShare is the share of an upstream that refuses part of its work.
 	sheddingShare = 0.5
-	// choices is the number of candidates that are compared.
-	choices = 4
 	// unknownLatency stands in for an upstream that has not answered yet.
 	unknownLatency = 5 * time.Millisecond
 )
@@ -39,7 +37,7 @@
 // Choose returns the index of the candidate for the next attempt. It reports
 // false if no candidate may take the request.
 //
-// It is the power of four choices (Mitzenmacher 1996) on the product of queue
+// It is the power of two choices (Mitzenmacher 1996) on the product of queue
 // depth and latency, within the first class that has members.
 func (t *Tracker) Choose(candidates []Candidate, request Request, now time.Time, random *rand.Rand) (int, bool) {
 	best := [classes][]int{}
@@ -124,18 +122,18 @@
 		return class[0]
 	}
 
-	best, least := 0, 0.0
+	a := random.IntN(len(class))
 
-	for i := range min(choices, len(class)) {
-		other := i + random.IntN(len(class)-i)
-		class[i], class[other] = class[other], class[i]
+	b := random.IntN(len(class) - 1)
+	if b >= a {
+		b++
+	}
 
-		if score := t.score(&candidates[class[i]], now); i == 0 || score < least {
-			best, least = class[i], score
-		}
+	if t.score(&candidates[class[b]], now) < t.score(&candidates[class[a]], now) {
+		a = b
 	}
 
-	return best
+	return class[a]
 }
 
 func (t *Tracker) score(c *Candidate, now time.Time) float64 {
