Send hedges only to other upstreams with a free slot

At load 90% the shortest queue without hedges had half of this policy's p99. A hedge that finds no free slot is now left out and counts against the budget. It also no longer goes to the upstream that is being tried, for which the dispatcher would hold two attempts under one name.

--- a/internal/bench/accounts/requests.go
+++ b/internal/bench/accounts/requests.go
@@ -30,7 +30,7 @@
 
 		return
 	}
-	if !m.start(r) {
+	if !m.start(r, false) {
 		m.fleet.After(noUpstreamPause, func() { m.next(r) })
 
 		return
@@ -50,7 +50,7 @@
 	}
 	m.fleet.After(delay, func() {
 		if !r.done && r.running == 1 && len(r.tried) == 1 && in.hedges.Spend() {
-			m.start(r)
+			m.start(r, true)
 		}
 	})
 }
@@ -82,10 +82,10 @@
 	return list
 }
 
-func (m *model) choose(r *request) (int, bool) {
+func (m *model) choose(r *request, hedge bool) (int, bool) {
 	in, list := m.ingresses[r.ingress], m.candidates(r.ingress)
 	if m.policy == thisPolicy || m.policy == evenSplit {
-		return in.tracker.Choose(list, balance.Request{Idempotent: r.idempotent, Tried: r.tried}, m.now(), m.random)
+		return in.tracker.Choose(list, balance.Request{Idempotent: r.idempotent, Tried: r.tried, Hedge: hedge}, m.now(), m.random)
 	}
 	var eligible []int
 	for i := range list {
@@ -117,8 +117,8 @@
 	return max(in.inFlight[i], load.InFlight+load.Queued)
 }
 
-func (m *model) start(r *request) bool {
-	i, ok := m.choose(r)
+func (m *model) start(r *request, hedge bool) bool {
+	i, ok := m.choose(r, hedge)
 	if !ok {
 		return false
 	}
--- a/internal/core/balance/candidate.go
+++ b/internal/core/balance/candidate.go
@@ -30,4 +30,7 @@
 	IdempotencyOwner string
 	// Tried lists the upstreams of earlier attempts, which come last.
 	Tried []string
+	// Hedge limits the choice to other upstreams with a free slot. A hedge that
+	// queues is no faster and delays the requests behind it.
+	Hedge bool
 }
--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -44,7 +44,7 @@
 
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Ejected || c.State == fleet.Draining {
+		if c.Ejected || c.State == fleet.Draining || request.Hedge && !t.takesHedge(c, request, now) {
 			continue
 		}
 
@@ -67,6 +67,10 @@
 	return 0, false
 }
 
+func (t *Tracker) takesHedge(c *Candidate, request Request, now time.Time) bool {
+	return t.of(c.Upstream).depth(now) < c.Slots && !slices.Contains(request.Tried, c.Upstream)
+}
+
 func (t *Tracker) class(c *Candidate, request Request, now time.Time, random *rand.Rand) int {
 	switch {
 	case slices.Contains(request.Tried, c.Upstream):
--- a/internal/core/balance/choose_test.go
+++ b/internal/core/balance/choose_test.go
@@ -243,3 +243,36 @@
 		t.Errorf("p95: got %v, want 95 ms within a bucket", got)
 	}
 }
+
+// TestHedgeNeedsFreeSlot guards against hedges that add load to a service
+// without capacity to spare, and against losing them while there is some.
+func TestHedgeNeedsFreeSlot(t *testing.T) {
+	t.Parallel()
+
+	now := time.Unix(1000, 0)
+
+	for _, tt := range []struct {
+		name     string
+		inFlight [3]int
+		want     bool
+	}{
+		{"one slot is free", [3]int{1, 3, 2}, true},
+		{"all slots are busy", [3]int{1, 3, 3}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+
+			tracker, list := NewTracker(), candidates(3)
+			for i, n := range tt.inFlight {
+				for range n {
+					tracker.Started(list[i].Upstream)
+				}
+			}
+
+			i, got := tracker.Choose(list, Request{Idempotent: true, Tried: []string{"u0"}, Hedge: true}, now, newRandom())
+			if got != tt.want || got && i != 2 {
+				t.Errorf("choice: got %d, %v, want 2 only if %v", i, got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/daemon/ingress/dispatch.go
+++ b/internal/daemon/ingress/dispatch.go
@@ -100,9 +100,8 @@
 				return result.reply
 			}
 		case <-d.hedge():
-			if d.choices.spendHedge(d.route.Service) {
+			if d.choices.spendHedge(d.route.Service) && d.start(true) {
 				d.Metrics.Add("Hedges", 1)
-				d.start()
 			}
 		}
 	}
@@ -112,7 +111,7 @@
 // reports false when the request has to be given up.
 func (d *dispatcher) next() bool {
 	for len(d.tried) < maxAttempts && d.ctx.Err() == nil && d.mayRetry() {
-		if d.start() {
+		if d.start(false) {
 			return true
 		}
 
@@ -162,9 +161,10 @@
 	return true
 }
 
-// start chooses an upstream and begins an attempt at it.
-func (d *dispatcher) start() bool {
-	request := balance.Request{Idempotent: d.route.Idempotent, Tried: d.tried}
+// start chooses an upstream and begins an attempt at it. It reports false if no
+// upstream may take the attempt.
+func (d *dispatcher) start(hedge bool) bool {
+	request := balance.Request{Idempotent: d.route.Idempotent, Tried: d.tried, Hedge: hedge}
 
 	key := d.request.Header.Get(idempotencyHeader)
 	if key != "" && !d.route.Idempotent {
