Credit client accounts for the rounds they were idle in

Their requests come one at a time: a light account left the ring after each and rejoined it without deficit, so it waited for all rounds that one item takes. It now rejoins with what it would have saved up meanwhile, at most one item, and the expected wait takes this into account. Credit for every new account at once was ruled out, because a queue that just filled would serve light accounts first (TestPopOrder).

--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -69,8 +69,18 @@
 	// credited says that the account at turn has had its quantum.
 	credited bool
 	service  time.Duration
+	// round counts the turns of the whole ring since the queue was empty.
+	round int64
+	// idle holds the accounts that left the ring since then.
+	idle map[string]idle
 }
 
+// idle is what an account had when it left the ring.
+type idle struct{ deficit, weight, round int64 }
+
+// maxIdle bounds the accounts in Queue.idle, each of some 100 bytes.
+const maxIdle = 1024
+
 // New returns an empty queue that holds up to capacity items.
 func New(capacity int) *Queue {
 	return &Queue{capacity: max(capacity, 1)}
@@ -120,7 +130,8 @@
 func (q *Queue) add(item Item) {
 	entry := q.find(item.ClientAccount)
 	if entry == nil {
-		entry = &account{name: item.ClientAccount}
+		entry = &account{name: item.ClientAccount, deficit: q.credit(item)}
+		delete(q.idle, item.ClientAccount)
 		q.ring = append(q.ring, entry)
 	}
 	entry.weight = int64(item.Weight)
@@ -150,8 +161,7 @@
 			q.credited = true
 		}
 		if entry.deficit < cost || index < 0 {
-			q.turn = (q.turn + 1) % len(q.ring)
-			q.credited = false
+			q.advance()
 
 			continue
 		}
@@ -163,6 +173,25 @@
 	}
 }
 
+func (q *Queue) advance() {
+	q.credited = false
+	q.turn++
+	if q.turn >= len(q.ring) {
+		q.turn = 0
+		q.round++
+	}
+}
+
+// credit returns the deficit of an account that joins the ring: what it would
+// have saved up in the rounds in which it had nothing to send, at most an item.
+// Without it, an account of low weight that sends now and then waits for many
+// rounds with each item and gets less than its share.
+func (q *Queue) credit(item Item) int64 {
+	last, weight := q.idle[item.ClientAccount], int64(item.Weight)
+
+	return min(max(q.cost(), weight), last.deficit+(q.round-last.round)*weight)
+}
+
 func (q *Queue) anyAfter(finishBy time.Time) bool {
 	for _, entry := range q.ring {
 		if entry.firstAfter(finishBy) >= 0 {
@@ -226,6 +255,7 @@
 			continue
 		}
 		q.ring = append(q.ring[:i], q.ring[i+1:]...)
+		q.leave(entry)
 		switch {
 		case i < q.turn:
 			q.turn--
@@ -234,12 +264,35 @@
 		}
 		if q.turn >= len(q.ring) {
 			q.turn = 0
+			q.round++
+		}
+		if len(q.ring) == 0 {
+			q.round = 0
+			clear(q.idle)
 		}
 
 		return
 	}
 }
 
+// leave remembers an account that has nothing to send.
+func (q *Queue) leave(entry *account) {
+	if q.idle == nil {
+		q.idle = map[string]idle{}
+	}
+	if len(q.idle) >= maxIdle {
+		cost := q.cost()
+		for name, other := range q.idle {
+			if other.deficit+(q.round-other.round)*other.weight >= cost {
+				delete(q.idle, name)
+			}
+		}
+	}
+	if len(q.idle) < maxIdle {
+		q.idle[entry.name] = idle{entry.deficit, entry.weight, q.round}
+	}
+}
+
 func (q *Queue) find(name string) *account {
 	for _, entry := range q.ring {
 		if entry.name == name {
@@ -283,14 +336,15 @@
 // n-th item starts, each other account starts at most n items times the ratio
 // of their weights.
 func (q *Queue) expectedWait(item Item, slots, free int) time.Duration {
-	own := 0
+	own, saved := 0, q.credit(item)
 	if entry := q.find(item.ClientAccount); entry != nil {
-		own = len(entry.items)
+		own, saved = len(entry.items), entry.deficit
 	}
+	turns := max(0, float64(own+1)-float64(saved)/float64(max(q.cost(), int64(item.Weight))))
 	ahead := float64(own)
 	for _, entry := range q.ring {
 		if entry.name != item.ClientAccount {
-			share := float64(own+1) * float64(entry.weight) / float64(item.Weight)
+			share := turns * float64(entry.weight) / float64(item.Weight)
 			ahead += min(float64(len(entry.items)), share)
 		}
 	}
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -295,3 +295,20 @@
 		})
 	}
 }
+
+// Guards against a light account that sends now and then waiting many rounds
+// for each request, and against it saving up more than one request's turn.
+func TestIdleAccountKeepsItsTurn(t *testing.T) {
+	t.Parallel()
+	q := New(60)
+	fill(q, strings.Repeat("A", 40), time.Second)
+	for range 25 {
+		q.Pop(epoch)
+	}
+	fill(q, "bb", time.Second)
+	got := order(q, epoch)
+	first, last := strings.Index(got, "b"), strings.LastIndex(got, "b")
+	if first > 1 || last-first < 10 {
+		t.Errorf("got order %q, want the first b within a round and the second 10 rounds later", got)
+	}
+}
