--- a/internal/bench/accounts/accounts_test.go
+++ b/internal/bench/accounts/accounts_test.go
@@ -42,3 +42,18 @@
 			b.offered, b.refused, b.p99(), a.offered, a.refused, a.p99())
 	}
 }
+
+// TestOverloadKeepsCapacity guards against slots lost to requests that time out
+// while they run: at 110% the service can answer 1/1.1 of the requests in time.
+func TestOverloadKeepsCapacity(t *testing.T) {
+	t.Parallel()
+	for _, d := range deployments() {
+		t.Run(d.Name, func(t *testing.T) {
+			t.Parallel()
+			r := play(d, scenario{load: 1.1}, thisPolicy, 1)
+			if got, want := r.total().share(), 1/1.1; got < want {
+				t.Errorf("answered in time: got %.4f, want at least %.4f", got, want)
+			}
+		})
+	}
+}
