Test client account limits with real processes

The test lets one client account send ten times its rate through 5 daemons while each daemon, and so each granter, is frozen for 4.5 s or killed in turn, the last three times without the store. In no window may more than rate × t + burst requests be admitted; a request counts in the windows that hold its sending and its answer. Accounts inside their rate may get no 429, except in the time of a takeover, in which refusals are only logged.

A failed signal now tells how the process ended.

--- a/internal/standin/cluster/fixture_test.go
+++ b/internal/standin/cluster/fixture_test.go
@@ -50,7 +50,7 @@
 Burst = 800
 [ClientAccount Jetty]
 Rate = 20/s
-Burst = 40
+Burst = 200
 `
 
 var (
--- a/internal/standin/cluster/process.go
+++ b/internal/standin/cluster/process.go
@@ -42,7 +42,14 @@
 	return p, nil
 }
 
+// signal reports how the process ended if it has.
 func (p *process) signal(signal syscall.Signal) error {
+	select {
+	case <-p.ended:
+		return fmt.Errorf("signal %s, which has ended: %s", p.name, p.command.ProcessState)
+	default:
+	}
+
 	if err := p.command.Process.Signal(signal); err != nil {
 		return fmt.Errorf("signal %s: %w", p.name, err)
 	}
