Test the loss of a granter while the store is away

TestGranterLostWithStoreAway cuts the daemon that grants for a client account off from all others, or stops it at once, with the store away, at requests of 0.8 and 3 times the rate of 60/s. It judges that in no window more requests ran than rate × t + burst, and that no other daemon refuses as LimitAway later than L × 1.12 + 1 s after the fault.

The daemons of a fleet listen on a random loopback address of their own, since a callers' port on 127.0.0.1 was twice taken by another server before the daemon opened it or was refused for another reason not known; errors that daemons log now go to the test's output.

--- a/internal/daemon/server/fleet_test.go
+++ b/internal/daemon/server/fleet_test.go
@@ -10,8 +10,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -65,6 +65,9 @@
 [ClientAccount Steady]
 Rate = 400/s
 Burst = 800
+[ClientAccount Busy]
+Rate = 60/s
+Burst = 60
 [ClientAccount Leaving]
 Rate = 400/s
 Burst = 800
@@ -77,10 +80,12 @@
 // testFleet is a set of complete daemons in one process, with the stand-in
 // store and two upstreams beside each daemon.
 type testFleet struct {
-	links     *links
-	store     *platform.Store
-	settings  []settings.Settings
-	daemons   []*Server
+	links    *links
+	store    *platform.Store
+	settings []settings.Settings
+	daemons  []*Server
+	// stops end the daemons at once.
+	stops     []func()
 	upstreams []*upstream.Upstream
 	// keys holds a key for each client account.
 	keys map[string]string
@@ -99,6 +104,7 @@
 	for try := 1; ; try++ {
 		f := &testFleet{links: newLinks(), store: platform.New(rand.New(rand.NewPCG(1, 1))), keys: map[string]string{
 			"Steady": "steady-" + uuid.NewString(), "Leaving": "leaving-" + uuid.NewString(),
+			"Busy": "busy-" + uuid.NewString(),
 		}}
 		f.cleanUps = append(f.cleanUps, f.links.heal)
 		f.prepare(t)
@@ -196,22 +202,27 @@
 	}
 }
 
-// start starts a daemon and the upstreams beside it.
-func (f *testFleet) start(s settings.Settings, seed uint64) error {
-	daemon, closeDaemon, err := New(s, Options{
+// run starts a daemon whose connections pass through the links.
+func (f *testFleet) run(s settings.Settings) (*Server, func(), error) {
+	return New(s, Options{
 		DialPeer: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			return f.links.dial(ctx, s.AvailabilityZone, address.String())
 		},
 		Platform: platformclient.Options{Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return f.links.dial(ctx, s.AvailabilityZone, address)
 		}},
-	}, slog.New(slog.DiscardHandler), new(expvar.Map).Init())
+	}, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})), new(expvar.Map).Init())
+}
+
+// start starts a daemon and the upstreams beside it.
+func (f *testFleet) start(s settings.Settings, seed uint64) error {
+	daemon, closeDaemon, err := f.run(s)
 	if err != nil {
 		return fmt.Errorf("daemon %s: %w", s.Name, err)
 	}
 
 	f.cleanUps = append(f.cleanUps, closeDaemon)
-	f.daemons = append(f.daemons, daemon)
+	f.daemons, f.stops = append(f.daemons, daemon), append(f.stops, closeDaemon)
 
 	for _, service := range []string{"Calendar", "Booking"} {
 		one, closeUpstream, err := upstream.New(upstream.Settings{
@@ -313,12 +324,10 @@
 	return <-finished
 }
 
-// given holds the ports that were given to fleets of this process. A daemon
-// opens its callers' port late, when another fleet could have taken it.
-var given sync.Map
-
-// freeAddresses returns loopback addresses whose ports lie below those that
-// outgoing connections are given.
+// freeAddresses returns addresses with ports below those that outgoing
+// connections are given. They are on a loopback address that other fleets are
+// unlikely to use, because a daemon opens its callers' port late, when another
+// process could have taken it on 127.0.0.1.
 func freeAddresses(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
 
@@ -326,24 +335,20 @@
 
 	var list []netip.AddrPort
 
+	loopback := netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))})
+
 	for range 100 * n {
 		if len(list) == n {
 			return list
 		}
 
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(lowest+rand.IntN(highest-lowest)))
+		address := netip.AddrPortFrom(loopback, uint16(lowest+rand.IntN(highest-lowest)))
 
 		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 		if err != nil {
 			continue
 		}
 
-		if _, taken := given.LoadOrStore(address, true); taken {
-			_ = listener.Close()
-
-			continue
-		}
-
 		defer func() { _ = listener.Close() }()
 
 		list = append(list, address)
--- /dev/null
+++ b/internal/daemon/server/granter_test.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/lease"
+	"github.com/kumquatshelf/kumquatshelf/internal/standin/load"
+	"github.com/kumquatshelf/kumquatshelf/internal/standin/platform"
+)
+
+// The limit of the client account Busy.
+const (
+	busyRate  = 60
+	busyBurst = 60
+)
+
+// TestGranterLostWithStoreAway guards against tokens that are granted twice
+// when a granter is replaced during an outage of the store, and against a client
+// account that stays without a granter.
+func TestGranterLostWithStoreAway(t *testing.T) {
+	cutOff := func(f *testFleet, granter int) {
+		zone := f.settings[granter].AvailabilityZone
+		for i, s := range f.settings {
+			if i != granter {
+				f.links.sever(way{zone, s.AvailabilityZone}, way{s.AvailabilityZone, zone})
+			}
+		}
+	}
+	stopped := func(f *testFleet, granter int) { f.stops[granter]() }
+
+	for _, test := range []struct {
+		name  string
+		fault func(f *testFleet, granter int)
+		// rate is that of the requests at each of the five daemons.
+		rate float64
+	}{
+		{"cut off, within the rate", cutOff, 0.8 * busyRate / 5},
+		{"cut off, three times the rate", cutOff, 3 * busyRate / 5},
+		{"stopped for good, within the rate", stopped, 0.8 * busyRate / 5},
+		{"stopped for good, three times the rate", stopped, 3 * busyRate / 5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFleet(t, "a", "b", "c", "d", "e")
+			granter := slices.IndexFunc(f.daemons, func(d *Server) bool {
+				return d.limits.Held(fleet.Group("Busy", groups), time.Now())
+			})
+
+			if granter < 0 {
+				t.Fatal("no daemon holds the lease of the client account's group")
+			}
+
+			var streams []load.Stream
+			for i := range f.daemons {
+				streams = append(streams, f.read("Busy", test.rate, i))
+			}
+
+			var lostAt time.Time
+
+			results := f.traffic(t, streams, func() {
+				time.Sleep(2 * time.Second)
+				f.store.SetFaults(platform.Faults{Outage: true})
+
+				lostAt = time.Now()
+
+				test.fault(f, granter)
+				time.Sleep(12 * time.Second)
+			})
+
+			ran := f.ran()
+			sent, refused, late := 0, 0, 0
+
+			for _, result := range results {
+				if result.Stream == streams[granter].Name || result.Sent.Before(lostAt) {
+					continue
+				}
+
+				sent++
+
+				if result.Verdict == load.NotRun {
+					refused++
+
+					if result.Sent.Sub(lostAt) > lease.Margin(lease.Duration)+time.Second && reason(result) == "LimitAway" {
+						late++
+					}
+				}
+			}
+
+			if late > 0 {
+				t.Errorf("%d requests were refused as LimitAway after the failover, want none", late)
+			}
+
+			if n, window := overLimit(results, ran); n > 0 {
+				t.Errorf("%d requests admitted within %s, want at most %d/s and %d", n, window, busyRate, busyBurst)
+			}
+
+			t.Logf("%d of %d requests at the other daemons refused in the 12 s from the fault", refused, sent)
+		})
+	}
+}
+
+// overLimit looks for a window in which more requests ran from their beginning
+// to their end than the limit allows, and returns their number and its length.
+func overLimit(results []load.Result, ran map[string]int) (n int, window time.Duration) {
+	type span struct{ begin, end time.Time }
+
+	var spans []span
+
+	for _, result := range results {
+		if ran[result.ID] > 0 {
+			spans = append(spans, span{result.Sent, result.Sent.Add(result.Latency)})
+		}
+	}
+
+	slices.SortFunc(spans, func(a, b span) int { return cmp.Compare(a.end.UnixNano(), b.end.UnixNano()) })
+
+	for _, first := range spans {
+		inside := 0
+
+		for _, s := range spans {
+			if s.begin.Before(first.begin) {
+				continue
+			}
+
+			inside++
+
+			length := s.end.Sub(first.begin)
+			if float64(inside) > busyBurst+busyRate*length.Seconds() {
+				return inside, length
+			}
+		}
+	}
+
+	return 0, 0
+}
