Test publications while the store is slow or loses answers

TestPublishWhileStoreFails publishes again and again for 25 s while every call of the store takes 2 s, or half of the writes lose their answer, and two of six daemons are stopped at once and started anew in turn. Versions must rise, no daemon may go back, and the newest version has to run on all daemons within 17 s of the end of the fault.

--- /dev/null
+++ b/internal/daemon/server/store_test.go
@@ -0,0 +1,152 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/config/publication"
+	"github.com/kumquatshelf/kumquatshelf/internal/config/teamfile"
+	"github.com/kumquatshelf/kumquatshelf/internal/standin/platform"
+)
+
+// TestPublishWhileStoreFails guards against a daemon that goes back to an older
+// configuration, or that stays on one, when the store is slow or loses answers
+// while others are published and daemons come and go.
+func TestPublishWhileStoreFails(t *testing.T) {
+	const (
+		lasts = 25 * time.Second
+		// inEffect is within which a change has to be in effect everywhere.
+		inEffect = 17 * time.Second
+	)
+
+	for _, test := range []struct {
+		name   string
+		faults platform.Faults
+	}{
+		{"slow", platform.Faults{Latency: 2 * time.Second}},
+		{"losing every second answer", platform.Faults{LoseAnswers: 0.5}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFleet(t, zones...)
+
+			var (
+				watching sync.WaitGroup
+				newest   uint64
+			)
+
+			ctx, cancel := context.WithCancel(t.Context())
+			defer watching.Wait()
+			defer cancel()
+
+			watched := f.daemons[:4]
+
+			watching.Go(func() { monotone(ctx, t, watched) })
+			f.store.SetFaults(test.faults)
+
+			publisher := publication.NewPublisher(f.store, rand.New(rand.NewPCG(3, 3)))
+			accepted, began := 0, time.Now()
+
+			for n := 0; time.Since(began) < lasts; n++ {
+				content := strings.Replace(team, "Rate = 60/s", fmt.Sprintf("Rate = %d/s", 60+n%2), 1)
+
+				result := publisher.Publish(t.Context(), publication.Change{
+					ID: uuid.New(), Files: []teamfile.File{{Name: "ponds.ini", Content: []byte(content)}},
+				})
+				if result.Outcome == publication.Accepted {
+					accepted++
+
+					if result.Version < newest {
+						t.Errorf("got version %d after %d, want versions to rise", result.Version, newest)
+					}
+
+					newest = result.Version
+				}
+
+				// The last two daemons come and go in turn.
+				i := 4 + n%2
+				f.stops[i]()
+
+				if err := f.restart(i); err != nil {
+					t.Fatalf("start daemon %s again: %v", f.settings[i].Name, err)
+				}
+			}
+
+			f.store.SetFaults(platform.Faults{})
+
+			for deadline := time.Now().Add(inEffect); ; time.Sleep(100 * time.Millisecond) {
+				behind := 0
+
+				for _, daemon := range f.daemons {
+					if version(daemon) != newest {
+						behind++
+					}
+				}
+
+				if behind == 0 {
+					break
+				}
+
+				if time.Now().After(deadline) {
+					t.Fatalf("%d daemons do not run version %d within %s", behind, newest, inEffect)
+				}
+			}
+
+			cancel()
+			watching.Wait()
+			t.Logf("%d publications were accepted", accepted)
+
+			if accepted == 0 {
+				t.Error("no publication was accepted")
+			}
+		})
+	}
+}
+
+// restart starts a stopped daemon anew; its upstreams run on.
+func (f *testFleet) restart(i int) error {
+	daemon, closeDaemon, err := f.run(f.settings[i])
+	if err != nil {
+		return err
+	}
+
+	f.daemons[i], f.stops[i] = daemon, closeDaemon
+	f.cleanUps = append(f.cleanUps, closeDaemon)
+
+	return nil
+}
+
+func version(daemon *Server) uint64 {
+	current := daemon.loader.Current()
+	if current == nil {
+		return 0
+	}
+
+	return current.Version
+}
+
+// monotone checks that no daemon goes back to an older version until ctx ends.
+func monotone(ctx context.Context, t *testing.T, daemons []*Server) {
+	last := make([]uint64, len(daemons))
+
+	for ctx.Err() == nil {
+		for i, daemon := range daemons {
+			now := version(daemon)
+			if now < last[i] {
+				t.Errorf("daemon %s went from version %d to %d", daemon.Name(), last[i], now)
+			}
+
+			last[i] = now
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+}
