Release the lease of a granter that leaves

A daemon that announces that it leaves loses its seat at once; without a seat it sent no release, and a new seat that had taken over its open promise did not recognise the release. The group waited for the whole lease. Change: an ending holder sends its release without a seat; an open promise that is handed on keeps its term's holder; a stopping daemon releases first and then waits for its callers. A group member that never was a candidate ends at once instead of after 3 s.

--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -139,7 +139,9 @@
 	}
 	if !g.Held(now) {
 		g.granter = nil
-		if !g.voter.Seated() || !g.voter.Active(now) && !g.Ending() {
+		// A leaving holder may have lost its seat already and still has to
+		// release its lease.
+		if !g.Ending() && !(g.voter.Seated() && g.voter.Active(now)) {
 			return out
 		}
 	}
--- a/internal/core/group/group_test.go
+++ b/internal/core/group/group_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -98,3 +99,31 @@
 	}
 	t.Error("got no release, want one")
 }
+
+// Guards against a leaving granter that keeps its lease to the end, because the
+// others replaced its seat when it announced that it leaves.
+func TestUnseatedGranterReleases(t *testing.T) {
+	t.Parallel()
+	g, now := alone(t)
+	var others []lease.Member
+	for i := range 3 {
+		name := fmt.Sprintf("other%d", i)
+		others = append(others, lease.Member{
+			Name: name, AvailabilityZone: name, Incarnation: 1, PeerAddress: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), uint16(i+1)),
+		})
+	}
+	g.Read(now, now, lease.Plan(0, g.Seats(), others))
+	if seated, _ := g.Seated(now); seated || !g.Held(now) {
+		t.Fatalf("got seated %v, held %v, want a holder without a seat", seated, g.Held(now))
+	}
+	g.End(now)
+	for range 100 {
+		for _, m := range g.Messages(now) {
+			if m.Frame.GetPromiseRequest().GetRelease() {
+				return
+			}
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	t.Error("got no release within a second, want one")
+}
--- a/internal/core/lease/candidate.go
+++ b/internal/core/lease/candidate.go
@@ -101,12 +101,17 @@
 // other daemon.
 func (c *Candidate) Ballots(now time.Time, rank int, free bool) []Ballot {
 	switch {
-	case c.stopped || c.seats == nil:
+	case c.stopped:
 		return nil
 	case !c.ending.IsZero() && !now.Before(c.end()):
 		c.stopped = true
+		if c.term == 0 {
+			return nil
+		}
 
 		return c.release(now)
+	case c.seats == nil:
+		return nil
 	case c.Held(now):
 		c.trying = false
 		if now.Before(c.next) {
--- a/internal/core/lease/rules_test.go
+++ b/internal/core/lease/rules_test.go
@@ -144,3 +144,32 @@
 		})
 	}
 }
+
+// Guards against a group that waits for the whole lease of a granter which left:
+// its seat was replaced first, and the new seat took over its open promise.
+func TestReleaseReachesNewSeats(t *testing.T) {
+	t.Parallel()
+	now := epochStart
+	seats, voters, c := elect(now, 0)
+	next := Plan(0, seats, members(4)[1:])
+	fresh := NewVoter(0, members(4)[3], now.Add(-time.Minute))
+	fresh.Read(now, now, next)
+	for _, q := range fresh.Queries(now) {
+		if number := int(q.To[len("daemon")] - '0'); number < len(voters) {
+			fresh.Answer(now, now, q.To, voters[number].Acknowledge(now, &peerpb.SeatEpoch{Epoch: 2, Seats: next}))
+		}
+	}
+	if holder, ok := fresh.Promised(now); !fresh.Active(now) || !ok || holder.Name != "daemon0" {
+		t.Fatalf("got promise to %v, want the open promise to daemon0 taken over", holder)
+	}
+	c.Observe(next)
+	c.End(now, time.Millisecond)
+	for _, b := range c.Ballots(now.Add(time.Millisecond), 0, false) {
+		if b.To == "daemon3" {
+			fresh.Promise(now.Add(time.Millisecond), b.Message)
+		}
+	}
+	if holder, ok := fresh.Promised(now.Add(time.Millisecond)); ok {
+		t.Errorf("got a promise to %v after its release, want none", holder)
+	}
+}
--- a/internal/core/lease/voter.go
+++ b/internal/core/lease/voter.go
@@ -247,6 +247,10 @@
 func (v *Voter) inherit(now time.Time, a epochAnswer) {
 	if a.result.GetTerm() > v.term {
 		v.term, v.termHolder = a.result.GetTerm(), Daemon{}
+		if a.result.GetPromiseNanoseconds() > 0 {
+			// The holder of an open promise can renew and release it here too.
+			v.termHolder = Daemon{Name: a.result.GetHolder(), Incarnation: a.result.GetHolderIncarnation()}
+		}
 	}
 	if age := a.result.GetReadAgeNanoseconds(); age >= 0 {
 		v.read = later(v.read, a.sent.Add(-Margin(time.Duration(age))))
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -321,6 +321,16 @@
 
 	go func() { stopped <- d.egress.Stop(ctx) }()
 
+	// The leases go first, because a group grants nothing until its lease has
+	// been taken over.
+	released := make(chan struct{})
+
+	go func() {
+		defer close(released)
+
+		d.stopLimits(ctx)
+	}()
+
 	select {
 	case <-time.After(lameDuck):
 	case <-ctx.Done():
@@ -333,7 +343,7 @@
 		d.log.Warn("attempts were cut at the end of the stop", "attempts", running)
 	}
 
-	d.stopLimits(ctx)
+	<-released
 
 	if !d.membership.Leave(ctx) {
 		d.log.Warn("no peer learned of the stop")
--- a/internal/standin/cluster/process.go
+++ b/internal/standin/cluster/process.go
@@ -27,6 +27,9 @@
 
 	command := exec.Command(filepath.Join(c.plan.Bin, program), arguments...) //nolint:gosec,noctx // the project's own program; ended by process.stop
 	command.Stdout, command.Stderr = log, log
+	// A group of its own, since the system ends stopped processes of a group
+	// that loses its parent.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 
 	if err := command.Start(); err != nil {
 		return nil, errors.Join(fmt.Errorf("start %s: %w", name, err), log.Close())
