--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -141,7 +141,7 @@
 		g.granter = nil
 		// A leaving holder may have lost its seat already and still has to
 		// release its lease.
-		if !g.Ending() && !(g.voter.Seated() && g.voter.Active(now)) {
+		if !g.Ending() && (!g.voter.Seated() || !g.voter.Active(now)) {
 			return out
 		}
 	}
--- a/internal/core/lease/candidate.go
+++ b/internal/core/lease/candidate.go
@@ -105,9 +105,6 @@
 		return nil
 	case !c.ending.IsZero() && !now.Before(c.end()):
 		c.stopped = true
-		if c.term == 0 {
-			return nil
-		}
 
 		return c.release(now)
 	case c.seats == nil:
@@ -164,8 +161,12 @@
 	return false
 }
 
+// release gives all votes back. Without a term there are none.
 func (c *Candidate) release(now time.Time) []Ballot {
-	out := c.ballots(true)
+	var out []Ballot
+	if c.term > 0 {
+		out = c.ballots(true)
+	}
 	clear(c.votes)
 	c.void, c.heldUntil = now, time.Time{}
 	c.knownTerm = max(c.knownTerm, c.term)
