--- a/internal/core/balance/choose.go
+++ b/internal/core/balance/choose.go
@@ -159,7 +159,7 @@
 
 	// An old latency counts for less, so that a slow upstream is tried now and
 	// then: it may have recovered, and the arbiter needs evidence about it.
-	latency := s.latency * math.Exp(-now.Sub(s.latencyAt).Seconds()/(2*latencyDecay).Seconds())
+	latency := s.latency * math.Exp(-now.Sub(s.latencyAt).Seconds()/latencyDecay.Seconds())
 	if s.latencyAt.IsZero() {
 		latency = unknownLatency.Seconds()
 	}
