--- a/internal/core/health/evidence.go
+++ b/internal/core/health/evidence.go
@@ -76,19 +76,19 @@
 	return h
 }
 
-// verdict is what one observation tells about its upstream.
-type verdict int
+// classification is what one observation tells about its upstream.
+type classification int
 
 const (
-	noEvidence verdict = iota
+	noEvidence classification = iota
 	success
 	failure
 )
 
-// judge classifies an observation. Errors of the client (4xx), shed requests
+// classify tells what an observation is evidence for. Errors of the client (4xx), shed requests
 // and results outside the Ready state are no evidence in either direction:
 // counting them as successes would hide a failing upstream.
-func judge(o fleet.Observation) verdict {
+func classify(o fleet.Observation) classification {
 	if o.State != fleet.Ready || o.Result == fleet.CallShed {
 		return noEvidence
 	}
@@ -129,7 +129,7 @@
 
 // Add counts one observation.
 func (c *Collector) Add(o fleet.Observation) {
-	v := judge(o)
+	v := classify(o)
 	if v == noEvidence && o.Result != fleet.CallShed {
 		return
 	}
@@ -147,7 +147,7 @@
 	t.add(o, v)
 }
 
-func (t *tally) add(o fleet.Observation, v verdict) {
+func (t *tally) add(o fleet.Observation, v classification) {
 	t.requests++
 	account := Hash(o.ClientAccount)
 	a := t.accounts[account]
--- a/internal/daemon/arbiter/decide.go
+++ b/internal/daemon/arbiter/decide.go
@@ -12,9 +12,9 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
-// court holds the arbiters of the services whose lease this daemon holds. It
+// heldServices holds the arbiters of the services whose lease this daemon holds. It
 // belongs to the decide goroutine.
-type court struct {
+type heldServices struct {
 	arbiters map[string]*health.Arbiter
 	// owners gives the daemon of each announced upstream by service.
 	owners map[string]map[string]string
@@ -24,23 +24,23 @@
 func (a *Arbiter) decide(ctx context.Context) {
 	ticker := time.NewTicker(health.ReportInterval)
 	defer ticker.Stop()
-	c := &court{arbiters: map[string]*health.Arbiter{}, owners: map[string]map[string]string{}}
+	c := &heldServices{arbiters: map[string]*health.Arbiter{}, owners: map[string]map[string]string{}}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-a.inbox:
-			c.hear(m, time.Now())
+			c.receive(m, time.Now())
 		case <-ticker.C:
-			a.judge(c, time.Now())
+			a.decideHeld(c, time.Now())
 		}
 	}
 }
 
-// hear passes evidence on. Only the daemon that owns an upstream speaks for
+// receive passes evidence on. Only the daemon that owns an upstream speaks for
 // its egress, and evidence about unknown upstreams is ignored, which bounds
 // the arbiter's memory by what is announced.
-func (c *court) hear(m message, now time.Time) {
+func (c *heldServices) receive(m message, now time.Time) {
 	for _, counts := range m.counts {
 		if arbiter := c.arbiters[counts.Service]; arbiter != nil {
 			if c.owners[counts.Service][counts.Upstream] == m.from.Daemon {
@@ -57,8 +57,8 @@
 	}
 }
 
-// judge decides for every service whose lease is held, and gives up the others.
-func (a *Arbiter) judge(c *court, now time.Time) {
+// decideHeld decides for every service whose lease is held, and gives up the others.
+func (a *Arbiter) decideHeld(c *heldServices, now time.Time) {
 	kept := map[string]*health.Arbiter{}
 	owners := map[string]map[string]string{}
 	var decisions []health.Decision
--- a/internal/standin/load/caller.go
+++ b/internal/standin/load/caller.go
@@ -196,12 +196,12 @@
 
 	defer func() { _ = answer.Body.Close() }()
 
-	judge(answer, &result)
+	evaluate(answer, &result)
 
 	return result
 }
 
-func judge(answer *http.Response, result *Result) {
+func evaluate(answer *http.Response, result *Result) {
 	data, err := io.ReadAll(answer.Body)
 	result.Latency = time.Since(result.Sent)
 	result.Status = answer.StatusCode
