--- a/internal/core/gossip/members.go
+++ b/internal/core/gossip/members.go
@@ -61,7 +61,7 @@
 	return 2 * version
 }
 
-func (m *member) judged() Status {
+func (m *member) currentStatus() Status {
 	s := m.suspicion
 	about := Version{Incarnation: s.Incarnation, Version: s.Version / 2}
 	if s.Version == 0 || (Version{Incarnation: m.incarnation, Version: m.version}).newer(about) {
@@ -84,9 +84,9 @@
 	return m
 }
 
-// judge updates a member's status after one of its entries changed.
-func (n *Node) judge(m *member, now time.Time) {
-	status := m.judged()
+// updateStatus updates a member's status after one of its entries changed.
+func (n *Node) updateStatus(m *member, now time.Time) {
+	status := m.currentStatus()
 	n.ringsStale = n.ringsStale || status != m.status
 	if status != m.status || m.since.IsZero() || status == Suspect {
 		m.since = now
@@ -188,7 +188,7 @@
 	n.ringsStale = true
 }
 
-// isForgotten reports whether an entry is about a life of a member that was
+// isForgotten reports whether an entry is about an incarnation of a member that was
 // forgotten, and returns the suspicion that the member must refute to return.
 func (n *Node) isForgotten(e fleet.Entry) (fleet.Entry, bool) {
 	f, ok := n.forgotten[e.Key]
--- a/internal/core/gossip/node.go
+++ b/internal/core/gossip/node.go
@@ -208,11 +208,11 @@
 		n.ringsStale = n.ringsStale || !m.known || zone != m.zone
 		m.incarnation, m.version, m.known = e.Incarnation, e.Version, true
 		m.zone, m.leaving = zone, leaving
-		n.judge(m, now)
+		n.updateStatus(m, now)
 	case fleet.KindSuspicion:
 		m := n.member(e.Key)
 		m.suspicion = Version{Incarnation: e.Incarnation, Version: e.Version}
-		n.judge(m, now)
+		n.updateStatus(m, now)
 	default:
 	}
 }
