Give each stand-in fleet a loopback address of its own

Ruled out: a daemon that fails to start, whose log had no error in other runs. Change: each fleet draws an address in 127.0.0.0/8 and uses fixed ports there.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -24,10 +24,10 @@
 	startTimeout = 20 * time.Second
 	stopTimeout  = 15 * time.Second
 	pollInterval = 50 * time.Millisecond
-	// firstPort and portCount are below Linux's default range for outgoing
-	// connections, which starts at 32768.
+	// firstPort is below Linux's default range for outgoing connections.
 	firstPort = 12000
-	portCount = 20000
+	// maxReservations bounds the loopback addresses that are tried.
+	maxReservations = 10
 )
 
 // Plan describes the processes to start.
@@ -306,31 +306,43 @@
 	}
 }
 
-// reserve returns loopback addresses with ports that were free a moment ago.
-// They lie below the ports that the system gives to outgoing connections, so
-// that a daemon that restarts finds its ports free.
+// reserve returns the addresses of one fleet. Each fleet has a loopback address
+// of its own, so that fleets that start at the same time do not take each
+// other's ports. The ports lie below those that the system gives to outgoing
+// connections, so that a daemon that restarts finds its ports free.
 func reserve(n int) ([]netip.AddrPort, error) {
-	var addresses []netip.AddrPort
+	var failure error
 
-	for tries := 0; len(addresses) < n; tries++ {
-		port := firstPort + rand.IntN(portCount) //nolint:gosec // not for secrets
+	for range maxReservations {
+		octet := func() byte { return byte(1 + rand.IntN(254)) } //nolint:gosec // 1 to 254, not for secrets
+		host := netip.AddrFrom4([4]byte{127, octet(), octet(), octet()})
 
-		listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
-		if err != nil && tries < portCount {
-			continue
+		addresses := make([]netip.AddrPort, n)
+		for i := range addresses {
+			addresses[i] = netip.AddrPortFrom(host, uint16(firstPort+i)) //nolint:gosec // a few hundred
 		}
 
-		if err != nil {
-			return nil, fmt.Errorf("reserve a port: %w", err)
+		if failure = allFree(addresses); failure == nil {
+			return addresses, nil
 		}
+	}
 
-		defer func() { _ = listener.Close() }()
+	return nil, failure
+}
 
-		address, _ := listener.Addr().(*net.TCPAddr)
-		addresses = append(addresses, netip.AddrPortFrom(address.AddrPort().Addr().Unmap(), address.AddrPort().Port()))
+func allFree(addresses []netip.AddrPort) error {
+	for _, address := range addresses {
+		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+		if err != nil {
+			return fmt.Errorf("reserve %s: %w", address, err)
+		}
+
+		if err := listener.Close(); err != nil {
+			return fmt.Errorf("release %s: %w", address, err)
+		}
 	}
 
-	return addresses, nil
+	return nil
 }
 
 func waitFor(ctx context.Context, address netip.AddrPort) error {
