Tell an upstream's suspicion from the daemon that judges it

The egress beside the gray upstream did suspect it: its log has suspicion 0.95 after two slow answers, 0.5 s after the change. The demo asked daemon lima-a-1, whose status knows a suspicion only from answers that it got itself. Its ingress sent nothing to the other availability zone, so it never heard of it. Since suspicion is judged at the egress, status and the healthy capacity beside the floor were wrong for operators too.

Ruled out: too few requests to judge the upstream (12 were judged after the change, 10 while suspect), and the threshold of slowness.

Change: a daemon tells its own upstreams' load from its egress, also at GET /Upstreams; of others it tells when it heard of them, and forgets a suspicion as the choice of upstreams does. kumquatshelf status asks each daemon about its own upstreams and shows the rest with their time.

--- a/cmd/kumquatshelf/main_test.go
+++ b/cmd/kumquatshelf/main_test.go
@@ -73,11 +73,20 @@
 				Name: fmt.Sprintf("d%d", j), ConfigurationVersion: 1, OperatorAddress: netip.MustParseAddrPort(w.daemonAddress(j)),
 			})
 		}
-		status.Services = []operator.Service{{Name: "Calendar", Slots: 6, Upstreams: []operator.Upstream{{Name: "u1", Daemon: "d1"}}}}
+		status.Services = []operator.Service{{Name: "Calendar", Slots: 6, Upstreams: []operator.Upstream{
+			{Name: "u1", Daemon: "d1", State: "Ready", Alive: true, Slots: 6},
+		}}}
 		_ = json.NewEncoder(rw).Encode(status)
 
 		return
 	}
+	if r.URL.Path == "/Upstreams" {
+		_ = json.NewEncoder(rw).Encode([]operator.Upstream{
+			{Name: fmt.Sprintf("u%d", i), Daemon: name, State: "Ready", Alive: true, Slots: 6, Suspicion: 0.75, Suspect: true},
+		})
+
+		return
+	}
 	w.actions = append(w.actions, fmt.Sprintf("%s %s by %s", name, r.URL.Path, r.Header.Get(operator.HeaderOperator)))
 	switch {
 	case r.Method == http.MethodPost && strings.Contains(r.URL.Path, "/unknown/"):
@@ -179,6 +188,8 @@
 		"status":                  {line: "status D0", want: exitOK, stdout: `daemon d0 runs configuration version 1(?s:.*)u1 +d1`},
 		"status as JSON":          {line: "status D0 --json", want: exitOK, stdout: `"Daemon": "d0"`},
 		"status of the second":    {prepare: func(w *world) { w.down[0] = true }, line: "status D0 D1", want: exitOK, stdout: "daemon d1"},
+		"status asks owners":      {line: "status D0", want: exitOK, stdout: `healthy 0 of 6(?s:.*)u1 +d1 +Ready +0.75 +true`},
+		"status, owner away":      {prepare: func(w *world) { w.down[1] = true }, line: "status D0", want: exitOK, stdout: `healthy 6 of 6`, stderr: "daemon d1 did not tell"},
 		"status, daemons down":    {prepare: daemonsDown, line: "status D0", want: exitUnreachable},
 		"status without daemon":   {line: "status", want: exitUsage},
 		"give":                    {prepare: func(w *world) { w.publish(team) }, line: "key give Club STORE", want: exitOK, stdout: `^[\w-]{43}\n$`, stderr: "shown only once"},
--- a/cmd/kumquatshelf/status.go
+++ b/cmd/kumquatshelf/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -28,6 +29,7 @@
 
 		return exitUnreachable
 	}
+	p.askOwners(ctx, client, &status)
 	if c.JSON {
 		return p.json(status)
 	}
@@ -40,11 +42,12 @@
 	for _, d := range status.Daemons {
 		row("%s\t%s\t%d\t%d\t%s\t%v", d.Name, d.AvailabilityZone, d.ConfigurationVersion, d.WithdrawnKeys, moment(d.StoreContact), d.Leaving)
 	}
-	row("\nSERVICE\tUPSTREAM\tDAEMON\tSTATE\tSUSPICION\tIN FLIGHT\tQUEUED\tSLOTS")
+	row("\nSERVICE\tUPSTREAM\tDAEMON\tSTATE\tSUSPICION\tSUSPECT\tIN FLIGHT\tQUEUED\tSLOTS\tHEARD")
 	for _, s := range status.Services {
-		row("%s\t\t\thealthy %d of %d, floor %d\t\t\t\t", s.Name, s.Healthy, s.Slots, s.Floor)
+		row("%s\t\t\thealthy %d of %d, floor %d\t\t\t\t\t\t", s.Name, s.Healthy, s.Slots, s.Floor)
 		for _, u := range s.Upstreams {
-			row("\t%s\t%s\t%s\t%.2f\t%d\t%d\t%d", u.Name, u.Daemon, u.State, u.Suspicion, u.InFlight, u.Queued, u.Slots)
+			row("\t%s\t%s\t%s\t%.2f\t%v\t%d\t%d\t%d\t%s", u.Name, u.Daemon, u.State, u.Suspicion, u.Suspect, u.InFlight, u.Queued,
+				u.Slots, moment(u.HeardAt))
 		}
 	}
 	row("\nCLIENT ACCOUNT\tSPENT/S\tRATE/S\tBURST\tREJECTED")
@@ -56,6 +59,48 @@
 	return exitOK
 }
 
+// askOwners replaces what the answering daemon heard of other daemons' upstreams
+// by what their own daemons say. Upstreams of daemons that do not answer keep it.
+func (p *program) askOwners(ctx context.Context, client *operator.Client, status *operator.Status) {
+	var (
+		calls sync.WaitGroup
+		mu    sync.Mutex
+	)
+	current := map[string]operator.Upstream{}
+	slots := make(chan struct{}, maxDaemonCalls)
+	for _, daemon := range status.Daemons {
+		if daemon.Name == status.Daemon || !daemon.OperatorAddress.IsValid() {
+			continue
+		}
+		slots <- struct{}{}
+		calls.Go(func() {
+			defer func() { <-slots }()
+			own, outcome := client.Upstreams(ctx, daemon.OperatorAddress)
+			mu.Lock()
+			defer mu.Unlock()
+			if outcome != operator.Confirmed {
+				p.errorf("daemon %s did not tell of its upstreams (%v); they are shown as daemon %s heard of them last",
+					daemon.Name, outcome, status.Daemon)
+
+				return
+			}
+			for _, upstream := range own {
+				current[upstream.Name] = upstream
+			}
+		})
+	}
+	calls.Wait()
+	for i := range status.Services {
+		service := &status.Services[i]
+		for j, known := range service.Upstreams {
+			if upstream, found := current[known.Name]; found && upstream.Daemon == known.Daemon {
+				service.Upstreams[j] = upstream
+			}
+		}
+		service.Count()
+	}
+}
+
 // json prints a value on stdout.
 func (p *program) json(value any) int {
 	encoder := json.NewEncoder(p.stdout)
--- a/internal/adapter/operator/client.go
+++ b/internal/adapter/operator/client.go
@@ -84,6 +84,16 @@
 	return status, outcome
 }
 
+// Upstreams returns the upstreams that a daemon owns, with their present load.
+func (c *Client) Upstreams(ctx context.Context, daemon netip.AddrPort) ([]Upstream, Outcome) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var upstreams []Upstream
+	outcome := c.call(ctx, http.MethodGet, daemon, "/Upstreams", maxStatusBytes, &upstreams)
+
+	return upstreams, outcome
+}
+
 // WithdrawKey withdraws the key with the SHA-256 hash in hex.
 func (c *Client) WithdrawKey(ctx context.Context, daemon netip.AddrPort, hash string) (Confirmation, Outcome) {
 	return c.act(ctx, daemon, "/Keys/"+url.PathEscape(hash)+"/Withdraw")
--- a/internal/adapter/operator/server.go
+++ b/internal/adapter/operator/server.go
@@ -12,6 +12,8 @@
 type Controller interface {
 	Name() string
 	Status() Status
+	// Upstreams returns the daemon's own upstreams.
+	Upstreams() []Upstream
 	WithdrawKey(hash keys.Hash, who string)
 	// Drain stops or allows new requests to an upstream.
 	Drain(upstream string, draining bool, who string)
@@ -20,11 +22,13 @@
 }
 
 // Register adds the operators' endpoints to a server:
-// GET /Status, POST /Keys/{hash}/Withdraw, POST /Upstreams/{name}/Drain and
+// GET /Status, GET /Upstreams, POST /Keys/{hash}/Withdraw, POST /Upstreams/{name}/Drain and
 // POST /Upstreams/{name}/Undrain. Actions need the header Operator.
 func Register(e *echo.Echo, daemon Controller) {
 	e.GET("/Status", func(c echo.Context) error { return c.JSON(http.StatusOK, daemon.Status()) })
 
+	e.GET("/Upstreams", func(c echo.Context) error { return c.JSON(http.StatusOK, daemon.Upstreams()) })
+
 	e.POST("/Keys/:Hash/Withdraw", action(daemon, func(c echo.Context, who string) (int, string) {
 		hash, ok := keys.ParseHash(c.Param("Hash"))
 		if !ok {
--- a/internal/adapter/operator/status.go
+++ b/internal/adapter/operator/status.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 )
 
 // HeaderOperator is the request header that names who acts.
@@ -61,13 +63,31 @@
 	Daemon string
 	// State is the name of a fleet.UpstreamState.
 	State string
-	// Suspicion is the probability that it fails at present, by what the daemon
-	// that answers heard last, and Suspect says that it is spared for that.
+	// Alive says that the owning daemon is not known to have failed.
+	Alive bool
+	// Suspicion is the probability that it fails at present, and Suspect says that
+	// it is spared for that.
 	Suspicion float64
 	Suspect   bool
 	Slots     int
 	InFlight  int
 	Queued    int
+	// HeardAt is when the daemon that answers learned of Suspicion, Suspect,
+	// InFlight and Queued. It is the zero time if it never did. The owning daemon
+	// knows them at all times; others learn of them from answers.
+	HeardAt time.Time `json:",omitzero"`
+}
+
+// Count sets Slots and Healthy to the sums over Upstreams.
+func (s *Service) Count() {
+	s.Slots, s.Healthy = 0, 0
+
+	for _, upstream := range s.Upstreams {
+		s.Slots += upstream.Slots
+		if upstream.Alive && upstream.State == fleet.Ready.String() && !upstream.Suspect {
+			s.Healthy += upstream.Slots
+		}
+	}
 }
 
 // ClientAccount is the spend of one client account.
--- a/internal/core/balance/place_test.go
+++ b/internal/core/balance/place_test.go
@@ -193,3 +193,20 @@
 		t.Errorf("got %v, want about 100 ms", got)
 	}
 }
+
+// Guards against a status that shows a suspicion long after it was heard of.
+func TestTrackerLoad(t *testing.T) {
+	t.Parallel()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	tracker := NewTracker()
+	if _, at := tracker.Load("a", now); !at.IsZero() {
+		t.Errorf("got a load heard at %v of an upstream that did not answer, want none", at)
+	}
+	tracker.Finished("a", fleet.Load{Slots: 3, InFlight: 2, Suspect: true}, 0, now)
+	for after, want := range map[time.Duration]bool{0: true, suspicionLifetime + 1: false} {
+		load, at := tracker.Load("a", now.Add(after))
+		if load.Suspect != want || load.InFlight != 2 || !at.Equal(now) {
+			t.Errorf("%v later: got suspect %v, %d in flight, heard at %v, want %v, 2, %v", after, load.Suspect, load.InFlight, at, want, now)
+		}
+	}
+}
--- a/internal/core/balance/tracker.go
+++ b/internal/core/balance/tracker.go
@@ -113,14 +113,18 @@
 	t.Unreached(upstream, now)
 }
 
-// Load returns the load that the upstream's last answer carried.
-func (t *Tracker) Load(upstream string) fleet.Load {
+// Load returns the load that the upstream's last answer carried and when that was,
+// or the zero time. A suspicion of old is not returned.
+func (t *Tracker) Load(upstream string, now time.Time) (fleet.Load, time.Time) {
 	s := t.upstreams[upstream]
 	if s == nil {
-		return fleet.Load{}
+		return fleet.Load{}, time.Time{}
 	}
 
-	return s.load
+	load := s.load
+	load.Suspect = s.suspect(now)
+
+	return load, s.loadAt
 }
 
 // Forget drops upstreams for which keep reports false.
--- a/internal/daemon/egress/membership.go
+++ b/internal/daemon/egress/membership.go
@@ -216,6 +216,20 @@
 	return upstreams
 }
 
+// Load returns the present load of a local upstream. It reports false if the
+// upstream is not announced.
+func (e *Egress) Load(name string) (fleet.Load, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	l := e.lanes[name]
+	if l == nil || !l.announced {
+		return fleet.Load{}, false
+	}
+
+	return e.load(l, &fleet.Attempt{}, time.Now()), true
+}
+
 // Changed returns a channel that receives a value after Upstreams changed.
 // Changes that nobody received yet are merged into one value.
 func (e *Egress) Changed() <-chan struct{} { return e.changed }
--- a/internal/daemon/egress/trust_test.go
+++ b/internal/daemon/egress/trust_test.go
@@ -282,3 +282,25 @@
 		})
 	}
 }
+
+// Guards against a status that does not know of a suspicion because no request
+// brought word of it.
+func TestLoadTellsOfSuspicion(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, func(context.Context) (fleet.Answer, fleet.CallResult) {
+			return fleet.Answer{}, fleet.CallFailed
+		})
+		if _, got := f.Load("nobody"); got {
+			t.Error("got a load of an upstream that is not announced, want none")
+		}
+		for i, want := range []bool{false, true} {
+			if load, _ := f.Load(calendar.Name); load.Suspect != want {
+				t.Errorf("after %d failures: got suspect %v, want %v", 4*i, load.Suspect, want)
+			}
+			for j := range uint64(4) {
+				f.send(t, 10*uint64(i)+j+1, func(a *fleet.Attempt) { a.Forced = true })
+			}
+		}
+	})
+}
--- a/internal/daemon/ingress/spend.go
+++ b/internal/daemon/ingress/spend.go
@@ -80,10 +80,11 @@
 	return float64(total) / spendSlots, one.rejected
 }
 
-// Load returns the last load that an answer of the upstream carried here.
-func (in *Ingress) Load(upstream string) fleet.Load {
+// Load returns the last load that an answer of the upstream carried here, and when
+// that was, or the zero time.
+func (in *Ingress) Load(upstream string) (fleet.Load, time.Time) {
 	in.choices.mu.Lock()
 	defer in.choices.mu.Unlock()
 
-	return in.choices.tracker.Load(upstream)
+	return in.choices.tracker.Load(upstream, time.Now())
 }
--- a/internal/daemon/server/operator.go
+++ b/internal/daemon/server/operator.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/core/gossip"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/configuration"
+	"github.com/kumquatshelf/kumquatshelf/internal/daemon/directory"
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
@@ -181,24 +182,14 @@
 }
 
 func (d *Server) oneService(name string, floor fleet.Floor) operator.Service {
-	upstreams := d.directory.Upstreams(name)
 	service := operator.Service{Name: name}
 
-	for _, upstream := range upstreams {
-		load := d.ingress.Load(upstream.Name)
-		one := operator.Upstream{
-			Name: upstream.Name, Daemon: upstream.Daemon, State: upstream.State.String(), Slots: upstream.Slots,
-			Suspicion: load.Suspicion, Suspect: load.Suspect, InFlight: load.InFlight, Queued: load.Queued,
-		}
-
-		service.Slots += upstream.Slots
-		if upstream.Alive && upstream.State == fleet.Ready && !one.Suspect {
-			service.Healthy += upstream.Slots
-		}
-
-		service.Upstreams = append(service.Upstreams, one)
+	for _, known := range d.directory.Upstreams(name) {
+		service.Upstreams = append(service.Upstreams, d.upstreamStatus(known))
 	}
 
+	service.Count()
+
 	service.Floor = floor.Slots
 	if floor.Percent > 0 {
 		service.Floor = (service.Slots*floor.Percent + 99) / 100
@@ -209,6 +200,37 @@
 	return service
 }
 
+// Upstreams returns the daemon's own upstreams with their present load.
+func (d *Server) Upstreams() []operator.Upstream {
+	own := d.egress.Upstreams()
+	list := make([]operator.Upstream, len(own))
+
+	for i, upstream := range own {
+		list[i] = d.upstreamStatus(directory.Upstream{
+			Name: upstream.Name, Slots: upstream.Slots, State: upstream.State, Daemon: d.settings.Name, Alive: true,
+		})
+	}
+
+	return list
+}
+
+// upstreamStatus describes an upstream by what its egress knows if that is here,
+// and else by what the ingress heard of it last.
+func (d *Server) upstreamStatus(upstream directory.Upstream) operator.Upstream {
+	load, local := d.egress.Load(upstream.Name)
+	heardAt := time.Now()
+
+	if !local || upstream.Daemon != d.settings.Name {
+		load, heardAt = d.ingress.Load(upstream.Name)
+	}
+
+	return operator.Upstream{
+		Name: upstream.Name, Daemon: upstream.Daemon, State: upstream.State.String(), Alive: upstream.Alive,
+		Slots:     upstream.Slots,
+		Suspicion: load.Suspicion, Suspect: load.Suspect, InFlight: load.InFlight, Queued: load.Queued, HeardAt: heardAt,
+	}
+}
+
 func (d *Server) accountStatus(current *fleet.Configuration) []operator.ClientAccount {
 	if current == nil {
 		return nil
--- a/internal/standin/demo/stages.go
+++ b/internal/standin/demo/stages.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/adapter/operator"
+	"github.com/kumquatshelf/kumquatshelf/internal/standin/cluster"
 	"github.com/kumquatshelf/kumquatshelf/internal/standin/load"
 	"github.com/kumquatshelf/kumquatshelf/internal/standin/upstream"
 )
@@ -37,19 +38,20 @@
 		return fmt.Errorf("set the mode: %w", err)
 	}
 
-	go d.watchSuspicion(context.WithoutCancel(ctx))
+	go d.watchSuspicion(context.WithoutCancel(ctx), owner)
 
 	return nil
 }
 
-// watchSuspicion notes when the gray upstream was suspect.
-func (d *demo) watchSuspicion(ctx context.Context) {
+// watchSuspicion notes when the gray upstream was suspect. The daemon beside it
+// decides that; others learn of it when they send it a request.
+func (d *demo) watchSuspicion(ctx context.Context, owner *cluster.Daemon) {
 	client, closeClient := operator.NewClient("demo")
 	defer closeClient()
 
 	for time.Since(d.grayAt) < 20*time.Second && d.suspectAfter == 0 {
-		status, outcome := client.Status(ctx, d.cluster.Daemons[0].Operator)
-		if outcome == operator.Confirmed && suspect(status, d.gray) {
+		upstreams, outcome := client.Upstreams(ctx, owner.Operator)
+		if outcome == operator.Confirmed && slices.ContainsFunc(upstreams, d.isSuspect) {
 			d.suspectAfter = time.Since(d.grayAt)
 		}
 
@@ -57,16 +59,8 @@
 	}
 }
 
-func suspect(status operator.Status, upstream string) bool {
-	for _, service := range status.Services {
-		for _, one := range service.Upstreams {
-			if one.Name == upstream && one.Suspect {
-				return true
-			}
-		}
-	}
-
-	return false
+func (d *demo) isSuspect(upstream operator.Upstream) bool {
+	return upstream.Name == d.gray && upstream.Suspect
 }
 
 func (d *demo) withdraw(ctx context.Context) error {
