Count one pause of an instance once against its upstream

Cause: beside load, TestCutBetweenZones finds healthy upstreams suspect of being slow. A pause of the process delays every request that runs at the time, and each of their answers counted as evidence of its own: with two or three slots one pause was enough for a suspicion.

Change: an answer that began before the last slow one ended is no further evidence of slowness. It still counts if it is not slow.

TestOnePauseCountsOnce fails before the change.

--- a/internal/daemon/egress/egress.go
+++ b/internal/daemon/egress/egress.go
@@ -92,6 +92,8 @@
 	// slowness judges the time to answers against that of the service's other
 	// upstreams.
 	slowness *suspicion.Filter
+	// slowAt is when the last answer ended that counted as slow.
+	slowAt time.Time
 	// triedAt is when a request failed last, or a trial began, if none has succeeded
 	// since.
 	triedAt time.Time
--- a/internal/daemon/egress/stream.go
+++ b/internal/daemon/egress/stream.go
@@ -125,10 +125,22 @@
 		l.triedAt = now
 	}
 	if expected := r.waiter.attempt.Expected; expected > 0 && !failed {
-		l.slowness.Observe(o.Served > slowFactor*expected, now)
+		l.judgeSpeed(o.Served > slowFactor*expected, r.started, now)
 	}
 }
 
+// judgeSpeed updates the suspicion that an upstream is slow. One pause of its
+// instance delays all requests that run there at the time, and counts once.
+func (l *lane) judgeSpeed(slow bool, started, now time.Time) {
+	if slow {
+		if started.Before(l.slowAt) {
+			return
+		}
+		l.slowAt = now
+	}
+	l.slowness.Observe(slow, now)
+}
+
 // counts reports whether an observation says something about the upstream. A
 // call that the ingress or the daemon's stop cancelled says nothing, unless
 // the upstream had nearly all the attempt's time. Neither does a timeout that
--- a/internal/daemon/egress/trust_test.go
+++ b/internal/daemon/egress/trust_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -304,3 +305,37 @@
 		}
 	})
 }
+
+// Guards against an upstream that is suspect because one pause of its instance
+// delayed all the requests that ran at the time.
+func TestOnePauseCountsOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const usual, pause = 20 * time.Millisecond, 200 * time.Millisecond
+		served := usual
+		f := newFixture(t, func(ctx context.Context) (fleet.Answer, fleet.CallResult) {
+			time.Sleep(served)
+
+			return serves(ctx)
+		})
+		expect := func(a *fleet.Attempt) { a.Expected = usual }
+		for i := range uint64(50) {
+			f.send(t, i+1, expect)
+		}
+		served = pause
+		var running sync.WaitGroup
+		for i := range uint64(calendar.Slots) {
+			running.Go(func() { f.send(t, 100+i, expect) })
+		}
+		running.Wait()
+		if load, _ := f.Load(calendar.Name); load.Suspect {
+			t.Errorf("got suspect at %.3f after a pause with %d requests, want not suspect", load.Suspicion, calendar.Slots)
+		}
+		for i := range uint64(2) {
+			f.send(t, 200+i, expect)
+		}
+		if load, _ := f.Load(calendar.Name); !load.Suspect {
+			t.Errorf("got not suspect at %.3f after three slow answers in a row, want suspect", load.Suspicion)
+		}
+	})
+}
