Keep a granter that has a majority, and lend unused shares again at once

Each daemon lends its share to the first of the daemons that it knows by rank. Daemons that do not know one another yet lend to different ones, which never get a majority; a daemon that starts later and ranks first is turned to when the members are looked at, up to 0.5 s later, and each change costs 0.28 s, in which tokens from the former loan could be spent. In the model a granter that had just got its majority lost it to a daemon of higher rank, whose buckets were empty.

Ruled out: a shorter loan (it leaves one lost pledge); counting the refill of time in which a share was lent to nobody (a daemon that has just started does not know when its former run stopped, so there is next to none to count).

Change: a granter with a majority keeps its task while it answers and stays a member. Answers to pledges name the granter that the asked daemon knows, and a daemon whose granter has no majority asks the others in turn. A granter that gives a share back says whether tokens from it may be left; if not, the share can be lent again at once. While no granter is known, members are looked at ten times a second.

--- a/internal/bench/limits/fleet.go
+++ b/internal/bench/limits/fleet.go
@@ -25,6 +25,8 @@
 	detection = 5 * time.Second
 	// manageInterval is how often a daemon looks at the members and the store.
 	manageInterval = time.Second
+	// searchInterval is that time while it knows of no granter.
+	searchInterval = 100 * time.Millisecond
 )
 
 // start is the wall clock at virtual time zero.
@@ -192,9 +194,9 @@
 }
 
 // Take asks for a token and calls done with the answer.
-func (d *Daemon) Take(account string, deadline time.Duration, done func(fleet.Take)) {
+func (d *Daemon) Take(account string, deadline, patience time.Duration, done func(fleet.Take)) {
 	now := d.Clock()
-	take, waiter := d.Pool.Take(now, fleet.Demand{ClientAccount: account, Deadline: now.Add(deadline)})
+	take, waiter := d.Pool.Take(now, fleet.Demand{ClientAccount: account, Deadline: now.Add(deadline), Patience: now.Add(patience)})
 	if waiter == nil {
 		done(take)
 
@@ -273,16 +275,11 @@
 // manage plays the slow part: the members, and the owners in the store.
 func (d *Daemon) manage(now time.Time) {
 	f := d.fleet
-	if f.Now-d.managed < manageInterval {
+	if f.Now-d.managed < searchInterval || f.Now-d.managed < manageInterval && d.Pool.Settled(now) {
 		return
 	}
 	d.managed = f.Now
-	var live []string
-	for _, other := range f.Daemons {
-		if !other.leaving && (!other.Dead || f.Now-other.failed < detection && f.Named(other.Name) == nil) {
-			live = append(live, other.Name)
-		}
-	}
+	live := f.live()
 	d.Pool.Rank(pool.Ranked(0, live))
 	if f.StoreAway {
 		return
@@ -306,6 +303,18 @@
 	})
 }
 
+// live returns the daemons that count as members. One that failed does for a while.
+func (f *Fleet) live() []string {
+	var names []string
+	for _, d := range f.Daemons {
+		if !d.leaving && (!d.Dead || f.Now-d.failed < detection && f.Named(d.Name) == nil) {
+			names = append(names, d.Name)
+		}
+	}
+
+	return names
+}
+
 // settle lets daemons that start together find each other before the first owners
 // are named.
 const settle = time.Second
--- a/internal/bench/limits/limits_test.go
+++ b/internal/bench/limits/limits_test.go
@@ -67,7 +67,7 @@
 				d := f.Daemons[f.Random.IntN(len(f.Daemons))]
 				deadline := time.Duration(f.Random.Int64N(int64(time.Second)))
 				d.do(func() {
-					d.Take(name, deadline, func(take fleet.Take) {
+					d.Take(name, deadline, time.Duration(f.Random.Int64N(int64(deadline)+1)), func(take fleet.Take) {
 						if take.Outcome == fleet.Taken {
 							admissions[name] = append(admissions[name], f.Now)
 						}
@@ -122,7 +122,7 @@
 			if d.Dead {
 				continue
 			}
-			switch rapid.IntRange(0, 7).Draw(t, "fault") {
+			switch rapid.IntRange(0, 8).Draw(t, "fault") {
 			case 0, 1:
 				d.Pause(time.Duration(rapid.IntRange(1, 7000).Draw(t, "pause")) * time.Millisecond)
 			case 2:
@@ -153,6 +153,12 @@
 					delete(changed, "medium")
 				}
 				f.Configure(changed)
+			case 8:
+				for _, one := range slices.Clone(f.Daemons) {
+					if !one.Dead {
+						one.Restart()
+					}
+				}
 			}
 		}
 		f.Run(f.Now + 5*time.Second)
@@ -168,3 +174,39 @@
 		t.Errorf("got %d admissions over all cases, want at least 10,000 to make the property count", admitted)
 	}
 }
+
+// Guards against a fleet that grants nothing for long after a restart of all its
+// daemons, and against a granter that is replaced, with its buckets, by daemons that
+// start later and prefer another one.
+func TestRestartOfAll(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		f := NewFleet(seed, 24, tested)
+		f.Run(warmUp)
+		started := f.Now
+		for _, d := range slices.Clone(f.Daemons) {
+			d.Kill()
+			after := time.Duration(f.Random.Int64N(int64(time.Second)))
+			started = max(started, f.Now+after)
+			f.After(after, func() { f.Start(d.number, d.run+1, 1) })
+		}
+		f.Run(started + 2*time.Second)
+		first := f.Granter()
+		if first == nil {
+			t.Errorf("seed %d: got no granter 2 s after the last daemon started", seed)
+
+			continue
+		}
+		for range 100 {
+			f.Run(f.Now + 100*time.Millisecond)
+			if got := f.Granter(); got != first {
+				t.Errorf("seed %d: got another granter %v after the last start, want %s to stay", seed, f.Now-started, first.Name)
+
+				break
+			}
+		}
+		if got := first.Pool.Share(first.Clock()); got < 1-1e-9 {
+			t.Errorf("seed %d: got a share of %v in the end, want all", seed, got)
+		}
+	}
+}
--- a/internal/bench/limits/measure.go
+++ b/internal/bench/limits/measure.go
@@ -23,8 +23,9 @@
 	Skew float64
 	// Even spaces the requests evenly; otherwise they form a Poisson process.
 	Even bool
-	// Deadline is how long a request can wait, 1 s if zero.
-	Deadline time.Duration
+	// Deadline is how long a request can wait, 1 s if zero, and Patience how long it
+	// waits while its account is above the limit, as long if zero.
+	Deadline, Patience time.Duration
 }
 
 // Count is what became of the requests of one client account, or of several.
@@ -126,7 +127,7 @@
 	deadline := cmp.Or(t.load.Deadline, time.Second)
 	t.count(&t.baseline, inside, t.takeSplit(daemon.Name, deadline))
 	begin := f.Now
-	daemon.Take(t.load.Account, deadline, func(take fleet.Take) {
+	daemon.Take(t.load.Account, deadline, cmp.Or(t.load.Patience, deadline), func(take fleet.Take) {
 		t.count(&t.chosen, inside, take.Outcome)
 		if take.Outcome == fleet.Taken {
 			t.chosen.Waited += f.Now - begin
--- a/internal/bench/limits/scenarios.go
+++ b/internal/bench/limits/scenarios.go
@@ -37,6 +37,16 @@
 	return loads
 }
 
+// patient gives the loads the times of requests with a deadline of 4 s and a target
+// latency of 1 s.
+func patient(loads []Load) []Load {
+	for i := range loads {
+		loads[i].Deadline, loads[i].Patience = 4*time.Second, 125*time.Millisecond
+	}
+
+	return loads
+}
+
 func greedy() []Load {
 	out := accounts(0.9)
 	out[2].Offered = 10 * out[2].Limit.Rate
@@ -91,7 +101,7 @@
 			}
 		}},
 		{Name: "granter restarted with nothing", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: func(f *Fleet) { f.Granter().Restart() }},
-		{Name: "all daemons restarted with nothing", Daemons: 24, Loads: accounts(0.6), Length: 20 * time.Second, Fault: func(f *Fleet) {
+		{Name: "all daemons restarted with nothing", Daemons: 24, Loads: patient(accounts(0.6)), Length: 20 * time.Second, Fault: func(f *Fleet) {
 			for _, d := range f.Daemons {
 				d.Kill()
 				down := time.Second + time.Duration(f.Random.Int64N(int64(800*time.Millisecond)))
--- a/internal/core/pool/ledger.go
+++ b/internal/core/pool/ledger.go
@@ -14,6 +14,8 @@
 	began  time.Time
 	owners *peerpb.Owners
 	lent   map[string]loan
+	// used is when the share of each owner counted last.
+	used map[string]time.Time
 	// told is when each owner was last told that this daemon has a majority.
 	told map[string]time.Time
 	// majoritySince is since when it has had a majority without interruption, or
@@ -33,7 +35,9 @@
 }
 
 func newLedger(now time.Time) *ledger {
-	return &ledger{began: now, owners: &peerpb.Owners{}, lent: map[string]loan{}, told: map[string]time.Time{}}
+	return &ledger{
+		began: now, owners: &peerpb.Owners{}, lent: map[string]loan{}, used: map[string]time.Time{}, told: map[string]time.Time{},
+	}
 }
 
 // adopt replaces the owners.
@@ -45,6 +49,11 @@
 			delete(l.lent, name)
 		}
 	}
+	for name := range l.used {
+		if !slices.Contains(owners.GetNames(), name) && !l.spendable(name, now) {
+			delete(l.used, name)
+		}
+	}
 	for name := range l.told {
 		if !slices.Contains(owners.GetNames(), name) {
 			delete(l.told, name)
@@ -68,6 +77,7 @@
 	stamped := l.began.Add(time.Duration(pledge.GetEcho()) - 1) //nolint:gosec // checked below
 	switch {
 	case pledge.GetRelease():
+		result.Unused = !l.spendable(from.Name, now)
 		l.lent[from.Name] = loan{incarnation: from.Incarnation, after: now}
 	case pledge.GetEcho() > 0 && pledge.GetEchoIncarnation() == incarnation && !stamped.After(now):
 		valid := tokens.Shorten(time.Duration(min(max(pledge.GetValidNanoseconds(), 0), int64(Valid))))
@@ -96,6 +106,13 @@
 	return one, ok && !now.Add(tokens.Margin(tokens.TTL)).After(one.until)
 }
 
+// spendable reports whether tokens from an owner's share may be left somewhere.
+func (l *ledger) spendable(name string, now time.Time) bool {
+	at, used := l.used[name]
+
+	return used && now.Sub(at) < tokens.Margin(tokens.TTL)
+}
+
 // majority reports whether more than half of the owners lend their shares, and
 // keeps track since when.
 func (l *ledger) majority(now time.Time) bool {
@@ -129,6 +146,7 @@
 			// Owners that do not know of it yet count a greater share as theirs.
 		case ok && (majority || !now.Add(tokens.Margin(tokens.TTL)).After(one.counts)):
 			count++
+			l.used[name] = now
 		case !ok && majority && l.void(name, now):
 			count++
 		}
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -76,6 +76,8 @@
 	share float64
 	// ranked are the daemons that may grant, the preferred one first.
 	ranked []string
+	// gone says that the granter is not among them.
+	gone   bool
 	ending bool
 }
 
@@ -114,7 +116,10 @@
 
 // Rank sets the daemons that may grant, the preferred one first. All daemons
 // rank alike what they know alike.
-func (p *Pool) Rank(ranked []string) { p.ranked = ranked }
+func (p *Pool) Rank(ranked []string) {
+	p.ranked = ranked
+	p.gone = !slices.Contains(ranked, p.voter.target)
+}
 
 // Granter returns the daemon that this one asks for tokens, or "".
 func (p *Pool) Granter() string { return p.voter.target }
@@ -126,6 +131,12 @@
 	return p.share
 }
 
+// Settled reports whether this daemon grants with a majority, or has lately heard
+// from the daemon that does.
+func (p *Pool) Settled(now time.Time) bool {
+	return p.ledger.majority(now) || p.voter.settled(now)
+}
+
 // Majority reports whether this daemon was lent the shares of a majority.
 func (p *Pool) Majority(now time.Time) bool { return p.ledger.majority(now) }
 
@@ -144,7 +155,11 @@
 func (p *Pool) Messages(now time.Time) []Message {
 	p.refresh(now)
 	var out []Message
-	for _, o := range p.voter.due(now, p.candidates(now), p.owner() && !p.ending) {
+	preferred := p.preferred(now)
+	if preferred != p.voter.target {
+		p.gone = false
+	}
+	for _, o := range p.voter.due(now, preferred, p.ranked, p.owner() && !p.ending) {
 		pledge := o.pledge
 		pledge.Group, pledge.Incarnation, pledge.Epoch = p.number, p.self.Incarnation, p.owners.GetEpoch()
 		if o.older {
@@ -166,11 +181,20 @@
 	return p.voter.next
 }
 
-// candidates are the daemons to pledge to, without those that did not answer
-// lately. A leaving daemon does not grant.
-func (p *Pool) candidates(now time.Time) string {
+// preferred returns the daemon to pledge to. One that grants keeps the task, since
+// its successor would begin with empty buckets. Otherwise it is the first of those
+// that rank, without those that did not answer lately. A leaving daemon does not
+// grant.
+func (p *Pool) preferred(now time.Time) string {
+	v := p.voter
+	if v.settled(now) && !p.gone && p.eligible(v.target, now) {
+		return v.target
+	}
+	if known := v.told(now); known != "" && p.eligible(known, now) && slices.Contains(p.ranked, known) {
+		return known
+	}
 	for _, name := range p.ranked {
-		if !p.voter.avoided(name, now) && (!p.ending || name != p.self.Name) {
+		if p.eligible(name, now) {
 			return name
 		}
 	}
@@ -178,6 +202,10 @@
 	return ""
 }
 
+func (p *Pool) eligible(name string, now time.Time) bool {
+	return !p.voter.avoided(name, now) && (!p.ending || name != p.self.Name)
+}
+
 // TokenRequest returns the request for tokens that is due, or nil.
 func (p *Pool) TokenRequest(now time.Time) *Message {
 	if p.voter.target == "" {
@@ -209,6 +237,12 @@
 	if pledge.GetEpoch() < p.owners.GetEpoch() {
 		result.Owners = p.owners
 	}
+	switch {
+	case p.ledger.majority(now) && !p.ending:
+		result.Granter = p.self.Name
+	case p.voter.settled(now) && p.voter.target != p.self.Name:
+		result.Granter = p.voter.target
+	}
 	p.refresh(now)
 
 	return result
--- a/internal/core/pool/voter.go
+++ b/internal/core/pool/voter.go
@@ -9,8 +9,19 @@
 
 // voter decides to whom this daemon lends its share, and whom it asks for tokens.
 type voter struct {
-	// target is the granter at present.
-	target string
+	// target is the granter at present, and turnedAt when it became that.
+	target   string
+	turnedAt time.Time
+	// settledAt is when the last pledge was sent that the target answered as the
+	// daemon with a majority, or zero.
+	settledAt time.Time
+	// granter is the daemon with a majority by what another daemon said at granterAt.
+	granter   string
+	granterAt time.Time
+	// askAt is when another daemon is asked next who has a majority, and asked
+	// counts those that were.
+	askAt time.Time
+	asked int
 	// stamp is the target's last, of its incarnation, received at stampAt.
 	stamp            uint64
 	stampIncarnation uint64
@@ -19,6 +30,9 @@
 	// does not know whether it lent its share before.
 	boundTo    Daemon
 	boundUntil time.Time
+	// freeAt is from when the share was free before it was lent, if lent is set.
+	freeAt time.Time
+	lent   bool
 	// majorityAt is when the last pledge was sent that a granter with a majority
 	// answered, or zero.
 	majorityAt time.Time
@@ -62,18 +76,28 @@
 	return now.Before(v.avoid[name].until)
 }
 
+// settled reports whether the target had a majority lately.
+func (v *voter) settled(now time.Time) bool {
+	return !v.settledAt.IsZero() && now.Sub(v.settledAt) < Lent
+}
+
+// told returns the daemon with a majority by what another daemon said lately, or "".
+func (v *voter) told(now time.Time) string {
+	if now.Sub(v.granterAt) >= Lent {
+		return ""
+	}
+
+	return v.granter
+}
+
 // due returns the pledges to send now. Preferred is the daemon that should grant,
-// and lends says that this daemon has a share to lend.
-func (v *voter) due(now time.Time, preferred string, lends bool) []due {
+// ranked are all that may, and lends says that this daemon has a share to lend.
+func (v *voter) due(now time.Time, preferred string, ranked []string, lends bool) []due {
 	var out []due
-	switch {
-	case preferred == v.target:
-		v.probe = ""
-	case v.target == "" || preferred == "" || v.avoided(v.target, now) || v.probe == preferred && v.probed:
-		v.turnTo(preferred, now)
-	case v.probe != preferred || !now.Before(v.probeAt):
-		v.probe, v.probed, v.probeAt = preferred, false, now.Add(probeInterval)
-		out = append(out, due{to: preferred, pledge: &peerpb.Pledge{}})
+	for _, name := range []string{v.turn(now, preferred), v.ask(now, ranked)} {
+		if name != "" {
+			out = append(out, due{to: name, pledge: &peerpb.Pledge{}})
+		}
 	}
 	if v.releasing != "" {
 		out = append(out, due{to: v.releasing, pledge: &peerpb.Pledge{Release: true}})
@@ -91,6 +115,38 @@
 	return append(out, due{to: v.target, pledge: pledge, older: v.older})
 }
 
+// turn changes the target to the preferred daemon once that has answered. It
+// returns that daemon if it is to be asked whether it does.
+func (v *voter) turn(now time.Time, preferred string) string {
+	switch {
+	case preferred == v.target:
+		v.probe = ""
+	case v.target == "" || preferred == "" || v.avoided(v.target, now) || v.probe == preferred && v.probed:
+		v.turnTo(preferred, now)
+	case v.probe != preferred || !now.Before(v.probeAt):
+		v.probe, v.probed, v.probeAt = preferred, false, now.Add(probeInterval)
+
+		return preferred
+	}
+
+	return ""
+}
+
+// ask returns another daemon to ask who has a majority, while the target has none.
+// Daemons that have just started may prefer another one than those that know it.
+func (v *voter) ask(now time.Time, ranked []string) string {
+	if v.target == "" || v.settled(now) || now.Before(v.askAt) || len(ranked) == 0 {
+		return ""
+	}
+	v.askAt = now.Add(renewInterval)
+	v.asked++
+	if other := ranked[v.asked%len(ranked)]; other != v.target {
+		return other
+	}
+
+	return ""
+}
+
 // turnTo changes the granter. The former one is asked to give the share back, so
 // that it need not run out.
 func (v *voter) turnTo(name string, now time.Time) {
@@ -98,6 +154,7 @@
 		v.releasing = v.target
 	}
 	v.target, v.stamp, v.failures, v.older, v.outstanding, v.next = name, 0, 0, false, false, now
+	v.turnedAt, v.settledAt, v.askAt = now, time.Time{}, now.Add(renewInterval)
 	v.probe, v.probed = "", false
 }
 
@@ -114,7 +171,11 @@
 	if !v.majorityAt.IsZero() {
 		pledge.ValidNanoseconds = int64(max(0, Valid-now.Sub(v.majorityAt)))
 	}
-	v.boundTo = Daemon{v.target, v.stampIncarnation}
+	own := Daemon{v.target, v.stampIncarnation}
+	if !v.lent || v.boundTo != own {
+		v.lent, v.freeAt = true, v.boundUntil
+	}
+	v.boundTo = own
 	if until := v.stampAt.Add(tokens.Margin(Lent)); until.After(v.boundUntil) {
 		v.boundUntil = until
 	}
@@ -125,10 +186,11 @@
 	now, sent time.Time, from string, pledge *peerpb.Pledge, result *peerpb.PledgeResult, epoch uint64,
 ) {
 	if pledge.GetRelease() {
-		v.released(now, from, result)
+		v.released(now, sent, from, result)
 
 		return
 	}
+	v.hear(sent, from, result)
 	if from != v.target {
 		v.probed = v.probed || from == v.probe && result != nil
 
@@ -161,6 +223,19 @@
 	}
 }
 
+// hear notes who has a majority by the answer to a pledge that was sent at sent.
+func (v *voter) hear(sent time.Time, from string, result *peerpb.PledgeResult) {
+	switch granter := result.GetGranter(); {
+	case granter == "":
+	case granter == v.target:
+		if from == granter && sent.After(v.settledAt) {
+			v.settledAt = sent
+		}
+	case sent.After(v.granterAt):
+		v.granter, v.granterAt = granter, sent
+	}
+}
+
 // lendWhenFree brings the next pledge forward to when the share can be lent.
 func (v *voter) lendWhenFree(now time.Time) {
 	if v.boundUntil.After(now) && v.boundUntil.Before(v.next) {
@@ -169,13 +244,18 @@
 }
 
 // released notes that a granter has given the share back. Tokens that it granted
-// before can be spent a little longer.
-func (v *voter) released(now time.Time, from string, result *peerpb.PledgeResult) {
-	if result != nil && v.boundTo.Name == from && v.target != from {
-		v.shorten(now)
-		if v.boundUntil.Before(v.next) {
-			v.next = v.boundUntil
-		}
+// before can be spent a little longer, if there are any.
+func (v *voter) released(now, sent time.Time, from string, result *peerpb.PledgeResult) {
+	if result == nil || v.boundTo.Name != from || v.target == from || sent.Before(v.turnedAt) {
+		return
+	}
+	v.lent = false
+	v.shorten(now)
+	if result.GetUnused() && v.boundTo.Incarnation == result.GetIncarnation() && v.freeAt.Before(v.boundUntil) {
+		v.boundUntil = v.freeAt
+	}
+	if v.boundUntil.Before(v.next) {
+		v.next = v.boundUntil
 	}
 }
 
--- /dev/null
+++ b/internal/core/pool/voter_test.go
@@ -0,0 +1,103 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatshelf/kumquatshelf/internal/core/tokens"
+	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
+)
+
+// Guards against a share that is lent again while tokens from it can be spent, and
+// against one that waits for tokens that were never granted.
+func TestReleasedShare(t *testing.T) {
+	t.Parallel()
+	start := time.Unix(1000, 0)
+	const stamp, incarnation = 7, 3
+	for _, tt := range []struct {
+		name   string
+		result *peerpb.PledgeResult
+		// early says that the release was sent before the daemon turned away.
+		early bool
+		want  time.Duration
+	}{
+		{"unused", &peerpb.PledgeResult{Incarnation: incarnation, Unused: true}, false, 0},
+		{"used", &peerpb.PledgeResult{Incarnation: incarnation}, false, tokens.Margin(tokens.TTL)},
+		{"another run of the granter", &peerpb.PledgeResult{Incarnation: incarnation + 1, Unused: true}, false, tokens.Margin(tokens.TTL)},
+		{"not answered", nil, false, tokens.Margin(Lent)},
+		{"answer to an earlier release", &peerpb.PledgeResult{Incarnation: incarnation, Unused: true}, true, tokens.Margin(Lent)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			v, now := newVoter(start), start.Add(2*time.Second)
+			sent := now
+			stamped := &peerpb.PledgeResult{Incarnation: incarnation, Stamp: stamp}
+			meet := func(name string) {
+				for _, d := range v.due(now, name, []string{name}, true) {
+					v.answer(now, now, d.to, d.pledge, stamped, 1)
+				}
+			}
+			meet("a") // is given a stamp
+			meet("a") // lends
+			if want := (Daemon{"a", incarnation}); v.boundTo != want {
+				t.Fatalf("got a share lent to %v, want %v", v.boundTo, want)
+			}
+			if !tt.early {
+				sent = now.Add(time.Millisecond)
+			}
+			v.turnTo("b", now.Add(time.Millisecond))
+			v.answer(now, sent, "a", &peerpb.Pledge{Release: true}, tt.result, 1)
+			v.stamp, v.stampIncarnation = stamp, incarnation
+			for after, want := range map[time.Duration]bool{tt.want - 1: false, tt.want: true} {
+				if after < 0 {
+					continue
+				}
+				if got := v.mayLend(now.Add(after)); got != want {
+					t.Errorf("got may lend %v after %v, want %v", got, after, want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against daemons that lend to different granters for long after a start, and
+// against a granter that loses its task to one that is preferred by rank.
+func TestGranterIsKept(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name string
+		hear func(v *voter)
+		want string
+	}{
+		{"nothing heard", func(*voter) {}, "first"},
+		{"the target has a majority", func(v *voter) {
+			v.turnTo("second", now)
+			v.hear(now, "second", &peerpb.PledgeResult{Granter: "second"})
+		}, "second"},
+		{"the target had a majority", func(v *voter) {
+			v.turnTo("second", now.Add(-Lent))
+			v.hear(now.Add(-Lent), "second", &peerpb.PledgeResult{Granter: "second"})
+		}, "first"},
+		{"another daemon names the granter", func(v *voter) {
+			v.hear(now, "first", &peerpb.PledgeResult{Granter: "third"})
+		}, "third"},
+		{"the granter named does not answer", func(v *voter) {
+			v.hear(now, "first", &peerpb.PledgeResult{Granter: "third"})
+			v.avoid["third"] = avoidance{until: now.Add(time.Second)}
+		}, "first"},
+		{"the granter named is no member", func(v *voter) {
+			v.hear(now, "first", &peerpb.PledgeResult{Granter: "gone"})
+		}, "first"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			p := &Pool{voter: newVoter(now)}
+			tt.hear(p.voter)
+			p.Rank([]string{"first", "second", "third"})
+			if got := p.preferred(now); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/daemon/limits/limits.go
+++ b/internal/daemon/limits/limits.go
@@ -24,6 +24,8 @@
 	reportTick = 50 * time.Millisecond
 	// memberTick is the time between looks at the members and the owners.
 	memberTick = 500 * time.Millisecond
+	// searchTick is that time while no daemon is known to grant.
+	searchTick = 100 * time.Millisecond
 	// maxCalls bounds the calls in flight. A message beyond it counts as lost;
 	// the state machines repeat it as after any other loss.
 	maxCalls = 512
--- a/internal/daemon/limits/owners.go
+++ b/internal/daemon/limits/owners.go
@@ -24,8 +24,6 @@
 
 // manage follows the members and keeps the owners in the store.
 func (l *Limiter) manage() {
-	ticker := time.NewTicker(memberTick)
-	defer ticker.Stop()
 	began, readAt := time.Now(), time.Time{}
 	var ranked []string
 	for {
@@ -43,14 +41,28 @@
 		} else if proposal := l.proposal(live); proposal != nil {
 			l.replace(proposal)
 		}
+		wait := memberTick
+		if !l.settled() {
+			wait = searchTick
+		}
 		select {
 		case <-l.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(wait):
 		}
 	}
 }
 
+// settled reports whether a daemon is known to grant in each group.
+func (l *Limiter) settled() bool {
+	return !slices.ContainsFunc(l.slots, func(s *slot) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+
+		return !s.pool.Settled(l.Clock.Now())
+	})
+}
+
 func (l *Limiter) rank(live []string) {
 	for _, s := range l.slots {
 		ranked := pool.Ranked(s.number, live)
