--- a/internal/bench/limits/scenarios.go
+++ b/internal/bench/limits/scenarios.go
@@ -73,6 +73,7 @@
 			f.After(time.Hour, func() { f.StoreAway = false })
 		}},
 		{Name: "granter killed", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: kill},
+		{Name: "granter of 24 killed, 1 s target", Daemons: 24, Loads: patient(accounts(0.6)), Length: 20 * time.Second, Fault: kill},
 		{Name: "store away and granter killed", Daemons: 8, Loads: accounts(0.9), Length: time.Minute, Fault: func(f *Fleet) {
 			f.StoreAway = true
 			kill(f)
