Let a leaving owner give its share of the limits up, and keep accepting after a temporary error

The share of an owner that leaves as planned is lent to nobody until it has been without contact to a majority for 11 s, so for that time a client account has 7 of 8 parts of its limit (30 of 31 at 31 owners). Ruled out: the change of the granter, which is rare in it. Change: a leaving owner that has no loan outstanding elsewhere tells the granter that it gives the share up. The granter uses it, as it does after 11 s, until it hears of a later run of that owner; what a new run lends counts only at a daemon with a majority anyway.

Cause: the callers' listener wrapped the error of Accept, and http.Server goes on only after errors that are a temporary net.Error themselves. A daemon without a free file descriptor for a moment took no connection any more, and stayed ready. TestTemporaryAcceptErrors fails before.

--- a/internal/adapter/caller/listener.go
+++ b/internal/adapter/caller/listener.go
@@ -17,7 +17,7 @@
 func (l listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
-		return nil, fmt.Errorf("accept a caller: %w", err)
+		return nil, err //nolint:wrapcheck // the server tries again after errors that it recognizes as temporary
 	}
 
 	return &connection{Conn: accepted}, nil
--- a/internal/adapter/caller/listener_test.go
+++ b/internal/adapter/caller/listener_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,3 +91,53 @@
 		})
 	}
 }
+
+// shortage fails to accept once, as a listener does when the process has no file
+// descriptor left.
+type shortage struct {
+	net.Listener
+	failed bool
+}
+
+func (s *shortage) Accept() (net.Conn, error) {
+	if !s.failed {
+		s.failed = true
+
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+
+	return s.Listener.Accept()
+}
+
+// Guards against a daemon that takes no connections any more after a short lack of
+// file descriptors.
+func TestTemporaryAcceptErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &http.Server{
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+		}
+		accepting := pipes{accept: make(chan net.Conn, 1), closed: make(chan struct{})}
+		ended := make(chan error, 1)
+
+		go func() { ended <- server.Serve(listener{&shortage{Listener: accepting}}) }()
+
+		defer func() { _ = server.Close() }()
+
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+
+		accepting.accept <- far
+
+		time.Sleep(2 * time.Second)
+
+		select {
+		case err := <-ended:
+			t.Fatalf("got a listener that ended with %v, want it to go on", err)
+		default:
+		}
+
+		_, _ = io.WriteString(near, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+
+		readAnswer(t, near, http.StatusNoContent)
+	})
+}
--- a/internal/bench/limits/limits_test.go
+++ b/internal/bench/limits/limits_test.go
@@ -135,6 +135,13 @@
 				names++
 				f.Start(names, 1, d.ClockRate)
 				d.Leave()
+				if rapid.Bool().Draw(t, "returns") {
+					f.After(time.Second+time.Duration(f.Random.Int64N(int64(time.Second))), func() {
+						if f.Named(d.Name) == nil {
+							f.Start(d.number, d.run+1, d.ClockRate)
+						}
+					})
+				}
 			case 5:
 				f.Cut[[2]string{d.Name, other.Name}] = true
 			case 6:
--- a/internal/core/pool/ledger.go
+++ b/internal/core/pool/ledger.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 	lent   map[string]loan
 	// used is when the share of each owner counted last.
 	used map[string]time.Time
+	// waived holds the run of each owner that left and gave its share up, and heard
+	// the last run of each owner that sent another pledge.
+	waived, heard map[string]uint64
 	// told is when each owner was last told that this daemon has a majority.
 	told map[string]time.Time
 	// majoritySince is since when it has had a majority without interruption, or
@@ -36,7 +40,8 @@
 
 func newLedger(now time.Time) *ledger {
 	return &ledger{
-		began: now, owners: &peerpb.Owners{}, lent: map[string]loan{}, used: map[string]time.Time{}, told: map[string]time.Time{},
+		began: now, owners: &peerpb.Owners{}, lent: map[string]loan{}, used: map[string]time.Time{},
+		waived: map[string]uint64{}, heard: map[string]uint64{}, told: map[string]time.Time{},
 	}
 }
 
@@ -44,21 +49,12 @@
 func (l *ledger) adopt(now time.Time, owners *peerpb.Owners) {
 	l.majority(now)
 	l.owners = owners
-	for name := range l.lent {
-		if !slices.Contains(owners.GetNames(), name) {
-			delete(l.lent, name)
-		}
-	}
-	for name := range l.used {
-		if !slices.Contains(owners.GetNames(), name) && !l.spendable(name, now) {
-			delete(l.used, name)
-		}
-	}
-	for name := range l.told {
-		if !slices.Contains(owners.GetNames(), name) {
-			delete(l.told, name)
-		}
-	}
+	gone := func(name string) bool { return !slices.Contains(owners.GetNames(), name) }
+	maps.DeleteFunc(l.lent, func(name string, _ loan) bool { return gone(name) })
+	maps.DeleteFunc(l.used, func(name string, _ time.Time) bool { return gone(name) && !l.spendable(name, now) })
+	maps.DeleteFunc(l.waived, func(name string, _ uint64) bool { return gone(name) })
+	maps.DeleteFunc(l.heard, func(name string, _ uint64) bool { return gone(name) })
+	maps.DeleteFunc(l.told, func(name string, _ time.Time) bool { return gone(name) })
 	l.majority(now)
 }
 
@@ -74,6 +70,11 @@
 	if from.Incarnation < known.incarnation || !slices.Contains(l.owners.GetNames(), from.Name) || pledge.GetEpoch() > epoch {
 		return result
 	}
+	if pledge.GetWaived() {
+		l.waived[from.Name] = max(l.waived[from.Name], from.Incarnation)
+	} else {
+		l.heard[from.Name] = max(l.heard[from.Name], from.Incarnation)
+	}
 	stamped := l.began.Add(time.Duration(pledge.GetEcho()) - 1) //nolint:gosec // checked below
 	switch {
 	case pledge.GetRelease():
@@ -155,9 +156,14 @@
 	return float64(count) / float64(max(len(names), 1))
 }
 
-// void reports whether an owner's share counts nowhere, because the owner has had
-// no contact with a majority for long.
+// void reports whether an owner's share counts nowhere, because its last run has
+// given it up, or it has had no contact with a majority for long. What a new run
+// lends counts only at a daemon with a majority, until it has had contact with one.
 func (l *ledger) void(name string, now time.Time) bool {
+	if run, left := l.waived[name]; left && run >= l.heard[name] {
+		return true
+	}
+
 	return l.unheard(name, now) >= tokens.Margin(Valid)
 }
 
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -159,7 +159,7 @@
 	if preferred != p.voter.target {
 		p.gone = false
 	}
-	for _, o := range p.voter.due(now, preferred, p.ranked, p.owner() && !p.ending) {
+	for _, o := range p.voter.due(now, preferred, p.ranked, p.owner(), p.ending) {
 		pledge := o.pledge
 		pledge.Group, pledge.Incarnation, pledge.Epoch = p.number, p.self.Incarnation, p.owners.GetEpoch()
 		if o.older {
--- a/internal/core/pool/voter.go
+++ b/internal/core/pool/voter.go
@@ -91,8 +91,9 @@
 }
 
 // due returns the pledges to send now. Preferred is the daemon that should grant,
-// ranked are all that may, and lends says that this daemon has a share to lend.
-func (v *voter) due(now time.Time, preferred string, ranked []string, lends bool) []due {
+// ranked are all that may, owns says that this daemon has a share, and leaves that it
+// lends it no more.
+func (v *voter) due(now time.Time, preferred string, ranked []string, owns, leaves bool) []due {
 	var out []due
 	for _, name := range []string{v.turn(now, preferred), v.ask(now, ranked)} {
 		if name != "" {
@@ -107,7 +108,11 @@
 		return out
 	}
 	pledge := &peerpb.Pledge{}
-	if lends && v.mayLend(now) {
+	switch {
+	case !owns || !v.mayLend(now):
+	case leaves:
+		pledge.Waived = true
+	default:
 		v.lend(now, pledge)
 	}
 	v.outstanding = true
--- a/internal/core/pool/voter_test.go
+++ b/internal/core/pool/voter_test.go
@@ -33,7 +33,7 @@
 			sent := now
 			stamped := &peerpb.PledgeResult{Incarnation: incarnation, Stamp: stamp}
 			meet := func(name string) {
-				for _, d := range v.due(now, name, []string{name}, true) {
+				for _, d := range v.due(now, name, []string{name}, true, false) {
 					v.answer(now, now, d.to, d.pledge, stamped, 1)
 				}
 			}
@@ -101,3 +101,60 @@
 		})
 	}
 }
+
+// Guards against the share of an owner that left lying idle for long, and against
+// its use by a granter while a later run of the owner lends it.
+func TestWaivedShare(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	waive, ask := &peerpb.Pledge{Waived: true}, &peerpb.Pledge{}
+	type sent struct {
+		run    uint64
+		pledge *peerpb.Pledge
+	}
+	for _, tt := range []struct {
+		name string
+		sent []sent
+		want bool
+	}{
+		{"nothing said", nil, false},
+		{"asked only", []sent{{1, ask}}, false},
+		{"waived", []sent{{1, waive}}, true},
+		{"asked and waived", []sent{{1, ask}, {1, waive}, {1, ask}}, true},
+		{"started again", []sent{{1, waive}, {2, ask}}, false},
+		{"late word of the former run", []sent{{1, waive}, {2, ask}, {1, waive}}, false},
+		{"left again", []sent{{1, waive}, {2, ask}, {2, waive}}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			l := newLedger(now)
+			l.adopt(now, &peerpb.Owners{Epoch: 1, Names: []string{"a", "b", "c"}})
+			for _, s := range tt.sent {
+				l.take(now, Daemon{"a", s.run}, s.pledge, 1, 1)
+			}
+			if got := l.void("a", now); got != tt.want {
+				t.Errorf("got void %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a leaving daemon that lends its share, or gives it up while tokens
+// from it can be spent at another granter.
+func TestLeavingOwner(t *testing.T) {
+	t.Parallel()
+	start := time.Unix(1000, 0)
+	stamped := &peerpb.PledgeResult{Incarnation: 3, Stamp: 7}
+	for after, want := range map[time.Duration]bool{0: false, tokens.Margin(Lent): true} {
+		v := newVoter(start)
+		now := start.Add(after)
+		for range 2 {
+			for _, d := range v.due(now, "a", []string{"a"}, true, true) {
+				if d.pledge.GetEcho() != 0 || d.pledge.GetWaived() && !want {
+					t.Errorf("%v after the start: got pledge %v, want it to lend nothing and waive %v", after, d.pledge, want)
+				}
+				v.answer(now, now, d.to, d.pledge, stamped, 1)
+			}
+		}
+	}
+}
