Stop a daemon whose listener for callers ends

Cause: the front logged that its listener had ended and nothing else happened. The daemon went on to say that it was ready, and no caller reached it.

Change: the front's Serve returns the error; the daemon is no longer ready, and asks to be started anew, as it does when its incarnation is no longer valid.

--- a/internal/adapter/caller/front.go
+++ b/internal/adapter/caller/front.go
@@ -47,6 +47,7 @@
 	log       *slog.Logger
 	metrics   *expvar.Map
 	server    *http.Server
+	listener  net.Listener
 	address   netip.AddrPort
 	draining  atomic.Bool
 	idle      *idleConnections
@@ -85,20 +86,25 @@
 	return f, func() { _ = f.server.Close() }
 }
 
-// Start begins to accept callers. It does nothing after Stop.
-func (f *Front) Start() error {
+// Listen opens the address that callers connect to.
+func (f *Front) Listen() error {
 	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(f.address))
 	if err != nil {
 		return fmt.Errorf("listen for callers on %s: %w", f.address, err)
 	}
 
 	f.address = tcp.Addr().(*net.TCPAddr).AddrPort()
+	f.listener = listener{tcp}
 
-	go func() {
-		if err := f.server.Serve(listener{tcp}); !errors.Is(err, http.ErrServerClosed) {
-			f.log.Error("caller listener ended", "error", err)
-		}
-	}()
+	return nil
+}
+
+// Serve accepts callers until Stop or the clean-up function is called. It returns an
+// error if it ends before.
+func (f *Front) Serve() error {
+	if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("accept callers on %s: %w", f.address, err)
+	}
 
 	return nil
 }
--- a/internal/adapter/caller/front_test.go
+++ b/internal/adapter/caller/front_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"expvar"
 	"io"
 	"log/slog"
@@ -39,12 +40,23 @@
 
 	front, cleanUp := New(netip.MustParseAddrPort("127.0.0.1:0"), OwnProtocol{}, f,
 		Bounds{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 10}, slog.New(slog.DiscardHandler), new(expvar.Map).Init())
-	t.Cleanup(cleanUp)
 
-	if err := front.Start(); err != nil {
-		t.Fatalf("Start: %v", err)
+	if err := front.Listen(); err != nil {
+		t.Fatalf("Listen: %v", err)
 	}
 
+	serving := make(chan error, 1)
+
+	go func() { serving <- front.Serve() }()
+
+	t.Cleanup(func() {
+		cleanUp()
+
+		if err := <-serving; err != nil {
+			t.Errorf("got %v after a planned stop, want no error", err)
+		}
+	})
+
 	return front
 }
 
@@ -220,3 +232,22 @@
 		})
 	}
 }
+
+// Guards against a front that takes no connections any more and says nothing.
+func TestServeTellsOfItsEnd(t *testing.T) {
+	t.Parallel()
+
+	front, cleanUp := New(netip.MustParseAddrPort("127.0.0.1:0"), OwnProtocol{}, &forwarder{},
+		Bounds{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 10}, slog.New(slog.DiscardHandler), new(expvar.Map).Init())
+	defer cleanUp()
+
+	if err := front.Listen(); err != nil {
+		t.Fatalf("Listen: %v", err)
+	}
+
+	_ = front.listener.Close()
+
+	if got := front.Serve(); !errors.Is(got, net.ErrClosed) {
+		t.Errorf("got %v, want %v", got, net.ErrClosed)
+	}
+}
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -102,8 +102,10 @@
 	running   sync.WaitGroup
 	// cleanUps run in reverse order.
 	cleanUps []func()
-	// restart is closed when the daemon cannot go on under its incarnation.
-	restart chan struct{}
+	// restart is closed when the daemon cannot go on: under its incarnation, or
+	// without a listener for callers.
+	restart     chan struct{}
+	restartOnce sync.Once
 }
 
 // Options change how a daemon connects. The zero value uses TCP.
@@ -212,12 +214,7 @@
 	select {
 	case <-settled:
 		d.log.Error("a higher incarnation of this daemon is known; restarting", "incarnation", incarnation)
-
-		select {
-		case <-d.restart:
-		default:
-			close(d.restart)
-		}
+		d.requestRestart()
 	default:
 		d.network.SetIncarnation(incarnation)
 	}
@@ -368,57 +365,6 @@
 	return d.serve("readiness", d.settings.ReadyAddress, router)
 }
 
-// startFront prepares the callers' address. Requests are accepted once the
-// daemon can serve them, because until then it could only refuse them.
-func (d *Server) startFront(ctx context.Context) error {
-	metrics := new(expvar.Map).Init()
-	d.metrics.Set("Callers", metrics)
-
-	var callers caller.Protocol = caller.OwnProtocol{}
-	if d.onPlatform() {
-		callers = wire.Callers{}
-	}
-
-	front, cleanUp := caller.New(d.settings.CallerAddress, callers, d.ingress, caller.Bounds{
-		MaxHeaderBytes: d.settings.MaxHeaderBytes, MaxBodyBytes: int64(d.settings.MaxBodyBytes),
-	}, d.log, metrics)
-	d.front = front
-	d.onClose(cleanUp)
-	d.running.Go(func() { d.openFront(ctx) })
-
-	return nil
-}
-
-// openFront begins to accept callers when a configuration is installed and keys
-// can be checked.
-func (d *Server) openFront(ctx context.Context) {
-	ticker := time.NewTicker(readyInterval)
-	defer ticker.Stop()
-
-	for !d.ready() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-
-	if err := d.front.Start(); err != nil {
-		d.log.Error("callers cannot be accepted", "error", err)
-
-		return
-	}
-
-	d.accepting.Store(true)
-	d.log.Info("accepting callers", "address", d.settings.CallerAddress)
-}
-
-func (d *Server) ready() bool {
-	contact := d.Contact()
-
-	return d.loader.Current() != nil && contact.Informed() && keys.Fresh(time.Now(), contact)
-}
-
 func newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // balancing and jitter
 }
--- a/internal/daemon/server/stop.go
+++ b/internal/daemon/server/stop.go
@@ -12,6 +12,10 @@
 	return d.restart
 }
 
+func (d *Server) requestRestart() {
+	d.restartOnce.Do(func() { close(d.restart) })
+}
+
 // Reload takes over settings that were read again. All but the time for a stop
 // come into force when the daemon starts again.
 func (d *Server) Reload(next settings.Settings) {
