Generate the protobuf code with libraries only

make generate needed protoc, which cannot be had from the module proxy. The compiler is now the library protocompile, with the generator of the protobuf module.

--- a/Makefile
+++ b/Makefile
@@ -43,9 +43,8 @@
 soak: build ## a few seeds of the fault soak, drawn from the time of day
 	$(BIN)/standin soak --bin $(BIN) --seeds 6 --at-once 2
 
-generate: ## regenerates the protobuf code (needs protoc)
-	cd tools && go build -o ../$(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=github.com/kumquatshelf/kumquatshelf internal/wire/peerpb/peer.proto
+generate: ## regenerates the protobuf code
+	cd tools && go run ./protobuf .. github.com/kumquatshelf/kumquatshelf internal/wire/peerpb/peer.proto
 
 clean:
 	rm -rf $(BIN)
