--- /dev/null
+++ b/internal/standin/cluster/addresses.go
@@ -0,0 +1,70 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+)
+
+// reserve returns the addresses of one fleet. Each fleet has a loopback address
+// of its own, so that fleets that start at the same time do not take each
+// other's ports. The ports lie below those that the system gives to outgoing
+// connections, so that a daemon that restarts finds its ports free.
+func reserve(n int) ([]netip.AddrPort, error) {
+	var failure error
+
+	for range maxReservations {
+		octet := func() byte { return byte(1 + rand.IntN(254)) } //nolint:gosec // 1 to 254, not for secrets
+		host := netip.AddrFrom4([4]byte{127, octet(), octet(), octet()})
+
+		addresses := make([]netip.AddrPort, n)
+		for i := range addresses {
+			addresses[i] = netip.AddrPortFrom(host, uint16(firstPort+i)) //nolint:gosec // a few hundred
+		}
+
+		if failure = allFree(addresses); failure == nil {
+			return addresses, nil
+		}
+	}
+
+	return nil, failure
+}
+
+func allFree(addresses []netip.AddrPort) error {
+	for _, address := range addresses {
+		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+		if err != nil {
+			return fmt.Errorf("reserve %s: %w", address, err)
+		}
+
+		if err := listener.Close(); err != nil {
+			return fmt.Errorf("release %s: %w", address, err)
+		}
+	}
+
+	return nil
+}
+
+func waitFor(ctx context.Context, address netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+
+	var dialer net.Dialer
+
+	for {
+		connection, err := dialer.DialContext(ctx, "tcp", address.String())
+		if err == nil {
+			return errors.Join(connection.Close())
+		}
+
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("nothing listens on %s after %s", address, startTimeout)
+		case <-time.After(pollInterval):
+		}
+	}
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -4,10 +4,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -212,64 +209,6 @@
 	return err
 }
 
-// StartDaemon starts a daemon that is not running.
-func (c *Cluster) StartDaemon(d *Daemon) error {
-	if err := c.writeSettings(d); err != nil {
-		return err
-	}
-
-	var err error
-
-	d.process, err = c.run(d.Name, "kumquatshelfd", "--settings", d.settings)
-
-	return err
-}
-
-// StopDaemon stops a daemon as planned and waits until it has ended.
-func (c *Cluster) StopDaemon(d *Daemon) error {
-	return d.process.stop(stopTimeout)
-}
-
-// KillDaemon ends a daemon at once.
-func (c *Cluster) KillDaemon(d *Daemon) error {
-	return d.process.kill()
-}
-
-// PauseDaemon freezes a daemon until ResumeDaemon.
-func (c *Cluster) PauseDaemon(d *Daemon) error {
-	return d.process.signal(syscall.SIGSTOP)
-}
-
-// ResumeDaemon lets a paused daemon run on.
-func (c *Cluster) ResumeDaemon(d *Daemon) error {
-	return d.process.signal(syscall.SIGCONT)
-}
-
-// ReloadDaemon tells a daemon that its settings file has changed.
-func (c *Cluster) ReloadDaemon(d *Daemon) error {
-	return d.process.signal(syscall.SIGHUP)
-}
-
-// PauseUpstreams freezes the upstreams beside a daemon until ResumeUpstreams.
-func (c *Cluster) PauseUpstreams(d *Daemon) error {
-	return d.upstreams.signal(syscall.SIGSTOP)
-}
-
-// ResumeUpstreams lets paused upstreams run on.
-func (c *Cluster) ResumeUpstreams(d *Daemon) error {
-	return d.upstreams.signal(syscall.SIGCONT)
-}
-
-// PausePlatform freezes the platform until ResumePlatform.
-func (c *Cluster) PausePlatform() error {
-	return c.platform.signal(syscall.SIGSTOP)
-}
-
-// ResumePlatform lets the paused platform run on.
-func (c *Cluster) ResumePlatform() error {
-	return c.platform.signal(syscall.SIGCONT)
-}
-
 // Client runs the operators' client and returns its standard output.
 func (c *Cluster) Client(ctx context.Context, arguments ...string) (string, error) {
 	return c.ClientInput(ctx, "", arguments...)
@@ -382,65 +321,6 @@
 	}
 }
 
-// reserve returns the addresses of one fleet. Each fleet has a loopback address
-// of its own, so that fleets that start at the same time do not take each
-// other's ports. The ports lie below those that the system gives to outgoing
-// connections, so that a daemon that restarts finds its ports free.
-func reserve(n int) ([]netip.AddrPort, error) {
-	var failure error
-
-	for range maxReservations {
-		octet := func() byte { return byte(1 + rand.IntN(254)) } //nolint:gosec // 1 to 254, not for secrets
-		host := netip.AddrFrom4([4]byte{127, octet(), octet(), octet()})
-
-		addresses := make([]netip.AddrPort, n)
-		for i := range addresses {
-			addresses[i] = netip.AddrPortFrom(host, uint16(firstPort+i)) //nolint:gosec // a few hundred
-		}
-
-		if failure = allFree(addresses); failure == nil {
-			return addresses, nil
-		}
-	}
-
-	return nil, failure
-}
-
-func allFree(addresses []netip.AddrPort) error {
-	for _, address := range addresses {
-		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
-		if err != nil {
-			return fmt.Errorf("reserve %s: %w", address, err)
-		}
-
-		if err := listener.Close(); err != nil {
-			return fmt.Errorf("release %s: %w", address, err)
-		}
-	}
-
-	return nil
-}
-
-func waitFor(ctx context.Context, address netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-
-	var dialer net.Dialer
-
-	for {
-		connection, err := dialer.DialContext(ctx, "tcp", address.String())
-		if err == nil {
-			return errors.Join(connection.Close())
-		}
-
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("nothing listens on %s after %s", address, startTimeout)
-		case <-time.After(pollInterval):
-		}
-	}
-}
-
 // Request sends a small request to a control address and returns the status.
 func Request(ctx context.Context, method, url, body string) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -3,7 +3,6 @@
 package platform
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -24,25 +23,6 @@
 	maxHistory = 4096
 )
 
-// Faults are what is wrong with the store at present.
-type Faults struct {
-	// Outage makes every call fail without effect.
-	Outage bool
-	// Latency delays the start of every call. A write whose caller gave up
-	// during the delay still takes effect at its end.
-	Latency time.Duration
-	// LoseAnswers, if at least 1, is the number of next writes whose answer is
-	// lost after they took effect. Below 1, it is the fraction of writes.
-	LoseAnswers float64
-}
-
-// Calls counts the calls since the start. A waiting watch counts as one.
-type Calls struct {
-	Get, Put, List, Watch uint64
-	// BytesWritten and BytesRead are the values' bytes.
-	BytesWritten, BytesRead uint64
-}
-
 // Store holds the objects and calls them without HTTP. It is safe for
 // concurrent use.
 type Store struct {
@@ -92,14 +72,6 @@
 	s.announce()
 }
 
-// SetFaults replaces the present faults.
-func (s *Store) SetFaults(faults Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = faults
-	s.announce()
-}
-
 // Observe lets a function see every write in order. It must not call the store.
 func (s *Store) Observe(observe func(fleet.Object)) {
 	s.mu.Lock()
@@ -249,53 +221,6 @@
 	return page, fleet.StoreOK
 }
 
-// Events returns the changes of a kind after a version and waits for one.
-func (s *Store) Events(
-	ctx context.Context, kind string, after uint64, wait time.Duration,
-) (fleet.ObjectEvents, fleet.StoreOutcome) {
-	if !s.begin(ctx, func(c *Calls) { c.Watch++ }) {
-		return fleet.ObjectEvents{}, fleet.StoreUnavailable
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		outage, dropped, changed := s.faults.Outage, s.dropped, s.changed
-		events := fleet.ObjectEvents{Revision: s.version}
-		for _, event := range s.history {
-			if event.Object.Kind == kind && event.Object.Version > after {
-				events.Events = append(events.Events, event)
-			}
-		}
-		s.mu.Unlock()
-		switch {
-		case outage:
-			return fleet.ObjectEvents{}, fleet.StoreUnavailable
-		case after < dropped:
-			return fleet.ObjectEvents{}, fleet.StoreCompacted
-		case len(events.Events) > 0:
-			return events, fleet.StoreOK
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return events, fleet.StoreOK
-		case <-ctx.Done():
-			return fleet.ObjectEvents{}, fleet.StoreUnavailable
-		}
-	}
-}
-
-func (s *Store) lose() bool {
-	if s.faults.LoseAnswers >= 1 {
-		s.faults.LoseAnswers--
-
-		return true
-	}
-
-	return s.faults.LoseAnswers > 0 && s.random.Float64() < s.faults.LoseAnswers
-}
-
 // List returns objects whose name is greater than after, in the order of their
 // names. The end is reached when none are returned.
 func (s *Store) List(ctx context.Context, kind, after string) ([]fleet.Object, fleet.StoreOutcome) {
@@ -313,43 +238,6 @@
 	}), fleet.StoreOK
 }
 
-// Watch returns objects written after the given version, in the order of their
-// versions. It waits up to 20 s for one, and then returns none.
-func (s *Store) Watch(ctx context.Context, kind string, since uint64) ([]fleet.Object, fleet.StoreOutcome) {
-	return s.watch(ctx, kind, since, s.wait)
-}
-
-func (s *Store) watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]fleet.Object, fleet.StoreOutcome) {
-	if !s.begin(ctx, func(c *Calls) { c.Watch++ }) {
-		return nil, fleet.StoreUnavailable
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		if s.faults.Outage {
-			s.mu.Unlock()
-
-			return nil, fleet.StoreUnavailable
-		}
-		objects := s.collect(kind, func(o fleet.Object) bool { return o.Version > since }, func(a, b fleet.Object) int {
-			return cmp.Compare(a.Version, b.Version)
-		})
-		changed := s.changed
-		s.mu.Unlock()
-		if len(objects) > 0 {
-			return objects, fleet.StoreOK
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return nil, fleet.StoreOK
-		case <-ctx.Done():
-			return nil, fleet.StoreUnavailable
-		}
-	}
-}
-
 func (s *Store) collect(kind string, match func(fleet.Object) bool, order func(a, b fleet.Object) int) []fleet.Object {
 	var objects []fleet.Object
 	for _, object := range s.objects[kind] {
@@ -375,29 +263,6 @@
 	return objects
 }
 
-// begin counts a call and waits for the present latency. It reports whether
-// the caller still waits.
-func (s *Store) begin(ctx context.Context, count func(*Calls)) bool {
-	s.mu.Lock()
-	count(&s.calls)
-	latency := s.faults.Latency
-	s.mu.Unlock()
-	if latency <= 0 {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-time.After(latency):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (s *Store) announce() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // ValidName reports whether a kind or name has the form that the store accepts.
 func ValidName(name string) bool {
 	if name == "" || len(name) > 200 {
