--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -190,7 +190,7 @@
 	if v.settled(now) && !p.gone && p.eligible(v.target, now) {
 		return v.target
 	}
-	if known := v.told(now); known != "" && p.eligible(known, now) && slices.Contains(p.ranked, known) {
+	if known := v.reported(now); known != "" && p.eligible(known, now) && slices.Contains(p.ranked, known) {
 		return known
 	}
 	for _, name := range p.ranked {
--- a/internal/core/pool/voter.go
+++ b/internal/core/pool/voter.go
@@ -81,8 +81,8 @@
 	return !v.settledAt.IsZero() && now.Sub(v.settledAt) < Lent
 }
 
-// told returns the daemon with a majority by what another daemon said lately, or "".
-func (v *voter) told(now time.Time) string {
+// reported returns the daemon with a majority by what another daemon said lately, or "".
+func (v *voter) reported(now time.Time) string {
 	if now.Sub(v.granterAt) >= Lent {
 		return ""
 	}
--- a/internal/daemon/configuration/loader.go
+++ b/internal/daemon/configuration/loader.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/config/publication"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/broadcast"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/workers"
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
@@ -82,9 +84,8 @@
 	// settled holds the hashes of keys that the store is known to have as
 	// withdrawn. That never changes back.
 	settled sync.Map
-
-	mu          sync.Mutex
-	subscribers map[chan struct{}]struct{}
+	// Subscribers learn of each version that is installed.
+	broadcast.Subscribers
 }
 
 // New starts a loader and returns a function that stops it and waits.
@@ -93,19 +94,9 @@
 		Dependencies: dependencies,
 		store:        &contactStore{Store: dependencies.Store},
 		heads:        make(chan []byte, 1),
-		subscribers:  map[chan struct{}]struct{}{},
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context, *rand.Rand){l.install, l.watchManifest, l.watchKeys, l.reconcileKeys} {
-		random := rand.New(rand.NewPCG(l.Random.Uint64(), l.Random.Uint64())) //nolint:gosec // spreads retries
-		loops.Go(func() { loop(ctx, random) })
 	}
 
-	return l, func() {
-		cancel()
-		loops.Wait()
-	}
+	return l, workers.Loops(l.Random, l.install, l.watchManifest, l.watchKeys, l.reconcileKeys)
 }
 
 // Current returns the installed configuration, or nil if there is none yet.
@@ -133,21 +124,6 @@
 	return time.Time{}
 }
 
-// Subscribe returns a channel that receives after a version was installed, with
-// several installations merged into one, and a function that ends it.
-func (l *Loader) Subscribe() (<-chan struct{}, func()) {
-	changed := make(chan struct{}, 1)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.subscribers[changed] = struct{}{}
-
-	return changed, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		delete(l.subscribers, changed)
-	}
-}
-
 // Handle answers another daemon's request for a part.
 func (l *Loader) Handle(request *peerpb.FetchPart) *peerpb.Part {
 	value, found := l.snapshot.Load().Part(request.GetHash())
@@ -245,14 +221,7 @@
 
 // announce tells subscribers and the fleet about a version.
 func (l *Loader) announce(snapshot *publication.Snapshot) {
-	l.mu.Lock()
-	for changed := range l.subscribers {
-		select {
-		case changed <- struct{}{}:
-		default: // the subscriber has yet to take the previous signal
-		}
-	}
-	l.mu.Unlock()
+	l.Announce()
 	l.Entries.Publish(headEntry(snapshot))
 }
 
--- a/internal/daemon/document/follower.go
+++ b/internal/daemon/document/follower.go
@@ -15,7 +15,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/kumquatshelf/kumquatshelf/internal/core/broadcast"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/workers"
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
@@ -112,26 +114,18 @@
 	// away says that the store did not answer the last call.
 	away atomic.Bool
 
-	mu          sync.Mutex
-	subscribers map[chan struct{}]struct{}
+	// Subscribers learn of each version that is installed.
+	broadcast.Subscribers
+	mu sync.Mutex
 	// refused is the last value that could not be read, which is logged once.
 	refused string
 }
 
 // New starts a follower and returns a function that stops it and waits.
 func New(dependencies Dependencies) (*Follower, func()) {
-	f := &Follower{Dependencies: dependencies, subscribers: map[chan struct{}]struct{}{}}
-	ctx, cancel := context.WithCancel(context.Background())
-	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context, *rand.Rand){f.watch, f.catchUp} {
-		random := rand.New(rand.NewPCG(f.Random.Uint64(), f.Random.Uint64())) //nolint:gosec // spreads retries
-		loops.Go(func() { loop(ctx, random) })
-	}
+	f := &Follower{Dependencies: dependencies}
 
-	return f, func() {
-		cancel()
-		loops.Wait()
-	}
+	return f, workers.Loops(f.Random, f.watch, f.catchUp)
 }
 
 // Current returns the installed configuration, or nil if there is none yet.
@@ -155,21 +149,6 @@
 // LastKeys returns when keys were last read, which are part of the configuration.
 func (f *Follower) LastKeys() time.Time { return f.LastContact() }
 
-// Subscribe returns a channel that receives after a version was installed, with
-// several installations merged into one, and a function that ends it.
-func (f *Follower) Subscribe() (<-chan struct{}, func()) {
-	changed := make(chan struct{}, 1)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.subscribers[changed] = struct{}{}
-
-	return changed, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		delete(f.subscribers, changed)
-	}
-}
-
 // Handle answers another daemon's request for the value with a hash, or for the
 // installed one if the hash is empty.
 func (f *Follower) Handle(request *peerpb.FetchPart) *peerpb.Part {
@@ -298,13 +277,8 @@
 		return
 	}
 	f.current.Store(&installed{configuration, value, hash})
-	for changed := range f.subscribers {
-		select {
-		case changed <- struct{}{}:
-		default: // the subscriber has yet to take the previous signal
-		}
-	}
 	f.mu.Unlock()
+	f.Announce()
 	f.Log.Info("configuration installed", "version", configuration.Version, "before", old, "from", from,
 		"routes", len(configuration.Routes), "client_accounts", configuration.ClientAccounts.Len(), "keys", len(configuration.Keys))
 	f.Entries.Publish(headEntry(configuration.Version, hash))
