--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -239,7 +239,7 @@
 	}
 	switch {
 	case p.ledger.majority(now) && !p.ending:
-		result.Granter = p.self.Name
+		result.Grants = true
 	case p.voter.settled(now) && p.voter.target != p.self.Name:
 		result.Granter = p.voter.target
 	}
--- a/internal/core/pool/voter.go
+++ b/internal/core/pool/voter.go
@@ -230,7 +230,12 @@
 
 // hear notes who has a majority by the answer to a pledge that was sent at sent.
 func (v *voter) hear(sent time.Time, from string, result *peerpb.PledgeResult) {
-	switch granter := result.GetGranter(); {
+	granter := result.GetGranter()
+	if result.GetGrants() {
+		granter = from
+	}
+
+	switch {
 	case granter == "":
 	case granter == v.target:
 		if from == granter && sent.After(v.settledAt) {
--- a/internal/core/pool/voter_test.go
+++ b/internal/core/pool/voter_test.go
@@ -73,11 +73,11 @@
 		{"nothing heard", func(*voter) {}, "first"},
 		{"the target has a majority", func(v *voter) {
 			v.turnTo("second", now)
-			v.hear(now, "second", &peerpb.PledgeResult{Granter: "second"})
+			v.hear(now, "second", &peerpb.PledgeResult{Grants: true})
 		}, "second"},
 		{"the target had a majority", func(v *voter) {
 			v.turnTo("second", now.Add(-Lent))
-			v.hear(now.Add(-Lent), "second", &peerpb.PledgeResult{Granter: "second"})
+			v.hear(now.Add(-Lent), "second", &peerpb.PledgeResult{Grants: true})
 		}, "first"},
 		{"another daemon names the granter", func(v *voter) {
 			v.hear(now, "first", &peerpb.PledgeResult{Granter: "third"})
