Give the answers' test the sessions' usual timing

The fixture closes a session whose peer does not take a write or answer a ping within 100 ms, for the tests of silent peers; the daemons use 1 s. A process that waits that long for a processor breaks the session, and a broken answer is reported as such, which is what the test guards.

The checks of bytes, ends, headers and trailers are as before; TestRunAnswers has no silent peer.

--- a/internal/adapter/peer/answer_test.go
+++ b/internal/adapter/peer/answer_test.go
@@ -31,7 +31,7 @@
 		{"truncated", "", cut, []byte("part"), io.ErrUnexpectedEOF},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			client, _, _ := newPair(t, nil, testTiming(), answerWith(c.body, c.length))
+			client, _, _ := newPair(t, nil, DefaultTiming(), answerWith(c.body, c.length))
 			reply := client.Run(t.Context(), "B", fleet.Attempt{ID: fleet.AttemptID{Ingress: "A", Sequence: 9}})
 			if reply.Outcome != fleet.Ran || reply.ID.Sequence != 9 {
 				t.Fatalf("got %+v, want Ran", reply)
