Reach a granter behind a cut through several relays, and count requests for the retry budget once

Cause: a daemon behind a cut between zones asked one random daemon to relay. With three zones half of the others are behind the same cut, so two calls in a row failed in one of four cases. After 5 s every caller repeated the direct call and waited 0.2 s for it. Requests of 0.83 of the limit ran out of tokens meanwhile. Also: a report to the retry budget whose answer was lost was reported again, and copies through relays were counted each, so that 50 requests counted as 200.

Ruled out: returning to the granter of before (its gains are measured); a longer time until a granter is avoided (a failed granter would block longer).

Change: three relays are asked at once, the first answer counts and its relay is used; a single caller in 5 s tries the direct path, beside the relayed call. A report that was sent and not answered is not repeated for its requests, only for its repeats, and further copies of a report carry no requests.

The daemons of a cut fleet send at most three messages more per lost path and 5 s.

--- a/internal/bench/overload/fleet.go
+++ b/internal/bench/overload/fleet.go
@@ -253,20 +253,20 @@
 }
 
 // SpendRetry implements ingress.RetryBudget.
-func (f *Fleet) SpendRetry(service string, use fleet.ServiceUsage) (granted, answered bool) {
+func (f *Fleet) SpendRetry(service string, use fleet.ServiceUsage) (granted bool, uncounted fleet.ServiceUsage) {
 	f.retriesMu.Lock()
 	defer f.retriesMu.Unlock()
 
-	return f.retries.Spend(time.Now(), service, use, 1), true
+	return f.retries.Spend(time.Now(), service, use, 1), fleet.ServiceUsage{}
 }
 
 // ReportUsage implements ingress.RetryBudget.
-func (f *Fleet) ReportUsage(service string, use fleet.ServiceUsage) bool {
+func (f *Fleet) ReportUsage(service string, use fleet.ServiceUsage) fleet.ServiceUsage {
 	f.retriesMu.Lock()
 	defer f.retriesMu.Unlock()
 	f.retries.Record(time.Now(), service, use, 1)
 
-	return true
+	return fleet.ServiceUsage{}
 }
 
 // network is the network between the daemons as one of them uses it.
--- a/internal/core/fleet/attempt.go
+++ b/internal/core/fleet/attempt.go
@@ -265,3 +265,9 @@
 	// requests of other services.
 	Repeats int
 }
+
+// Add adds the counts of other.
+func (u *ServiceUsage) Add(other ServiceUsage) {
+	u.Requests += other.Requests
+	u.Repeats += other.Repeats
+}
--- a/internal/daemon/ingress/attempts_test.go
+++ b/internal/daemon/ingress/attempts_test.go
@@ -32,22 +32,21 @@
 	repeatShare float64
 }
 
-func (b *fakeBudget) SpendRetry(service string, usage fleet.ServiceUsage) (granted, answered bool) {
+func (b *fakeBudget) SpendRetry(service string, usage fleet.ServiceUsage) (granted bool, uncounted fleet.ServiceUsage) {
 	b.ReportUsage(service, usage)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.retriesAsked++
 
-	return b.granted, true
+	return b.granted, fleet.ServiceUsage{}
 }
 
-func (b *fakeBudget) ReportUsage(_ string, usage fleet.ServiceUsage) bool {
+func (b *fakeBudget) ReportUsage(_ string, usage fleet.ServiceUsage) fleet.ServiceUsage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reported.Requests += usage.Requests
-	b.reported.Repeats += usage.Repeats
+	b.reported.Add(usage)
 
-	return true
+	return fleet.ServiceUsage{}
 }
 
 func (b *fakeBudget) NestedCallFailed() {
--- a/internal/daemon/ingress/balancer.go
+++ b/internal/daemon/ingress/balancer.go
@@ -221,15 +221,12 @@
 	s.unreportedUsage = fleet.ServiceUsage{}
 	b.mu.Unlock()
 
-	if b.fleetBudget.ReportUsage(service, reported) {
-		return
-	}
+	uncounted := b.fleetBudget.ReportUsage(service, reported)
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	s.unreportedUsage.Requests += reported.Requests
-	s.unreportedUsage.Repeats += reported.Repeats
+	s.unreportedUsage.Add(uncounted)
 }
 
 // spendRetry takes an extra attempt from the fleet-wide budget, or from this daemon's
@@ -248,15 +245,12 @@
 	s.unreportedUsage = fleet.ServiceUsage{}
 	b.mu.Unlock()
 
-	granted, answered := b.fleetBudget.SpendRetry(service, reported)
+	granted, uncounted := b.fleetBudget.SpendRetry(service, reported)
 
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	if !answered {
-		s.unreportedUsage.Requests += reported.Requests
-		s.unreportedUsage.Repeats += reported.Repeats
-	}
+	s.unreportedUsage.Add(uncounted)
 
 	if !granted {
 		s.retryRefusedAt = time.Now()
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -37,12 +37,12 @@
 // RetryBudget is the budget that bounds the extra attempts of all daemons together.
 type RetryBudget interface {
 	// SpendRetry asks for one extra attempt at a service. Usage counts the requests since
-	// the last answered call of either method. Granted reports whether the attempt is
-	// allowed, and answered whether usage was counted.
-	SpendRetry(service string, usage fleet.ServiceUsage) (granted, answered bool)
-	// ReportUsage sends the usage of a service since the last answered call of either
-	// method, and reports whether it was counted.
-	ReportUsage(service string, usage fleet.ServiceUsage) bool
+	// the last call of either method. Granted reports whether the attempt is allowed, and
+	// uncounted is the part of usage that has to be passed to a later call.
+	SpendRetry(service string, usage fleet.ServiceUsage) (granted bool, uncounted fleet.ServiceUsage)
+	// ReportUsage sends the usage of a service since the last call of either method. It
+	// returns the part that has to be passed to a later call.
+	ReportUsage(service string, usage fleet.ServiceUsage) (uncounted fleet.ServiceUsage)
 }
 
 // Candidates lists the upstreams of a service. The ingress does not modify the
--- a/internal/daemon/limits/group.go
+++ b/internal/daemon/limits/group.go
@@ -1,7 +1,6 @@
 package limits
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -159,26 +158,3 @@
 		delete(g.waiters, w)
 	}
 }
-
-// call sends a frame to a daemon and returns its answer, or nil if there was none. If
-// the daemon does not answer directly, the frame is sent through a relay.
-func (l *Limiter) call(daemon string, frame *peerpb.Frame) *peerpb.Frame {
-	if relay := l.relays.lookup(daemon); relay != "" {
-		return l.callViaRelay(relay, daemon, frame)
-	}
-	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-	defer cancel()
-	if answer, ok := l.Peers.Call(ctx, daemon, frame); ok {
-		return answer
-	}
-	relay := l.relays.chooseRelay(daemon, l.Self.Name, l.Members.Live())
-	if relay == "" || l.ctx.Err() != nil {
-		return nil
-	}
-	answer := l.callViaRelay(relay, daemon, frame)
-	if answer != nil {
-		l.relays.set(daemon, relay)
-	}
-
-	return answer
-}
--- a/internal/daemon/limits/limits.go
+++ b/internal/daemon/limits/limits.go
@@ -181,43 +181,44 @@
 
 // SpendRetry asks the granter of group 0, which manages the retry budgets of all
 // services, for one extra attempt at a service. Usage counts the requests and repeats
-// at the service since the last answered call. Answered reports whether the granter has
-// answered this call.
-func (l *Limiter) SpendRetry(service string, usage fleet.ServiceUsage) (granted, answered bool) {
-	return l.sendRetryRequest(newRetryRequest(service, usage))
+// at the service since the last call. Uncounted is the part of it that has to be passed
+// to a later call.
+func (l *Limiter) SpendRetry(service string, usage fleet.ServiceUsage) (granted bool, uncounted fleet.ServiceUsage) {
+	return l.sendRetryRequest(service, usage, false)
 }
 
 // ReportUsage reports the usage of a service to the granter of group 0 without asking for
-// an extra attempt. It returns whether the granter has recorded the usage.
-func (l *Limiter) ReportUsage(service string, usage fleet.ServiceUsage) bool {
-	request := newRetryRequest(service, usage)
-	request.ReportOnly = true
-	_, answered := l.sendRetryRequest(request)
+// an extra attempt. It returns the part that has to be passed to a later call.
+func (l *Limiter) ReportUsage(service string, usage fleet.ServiceUsage) (uncounted fleet.ServiceUsage) {
+	_, uncounted = l.sendRetryRequest(service, usage, true)
 
-	return answered
-}
-
-func newRetryRequest(service string, usage fleet.ServiceUsage) *peerpb.RetryRequest {
-	return &peerpb.RetryRequest{
-		Service:  service,
-		Requests: uint32(max(usage.Requests, 0)), //nolint:gosec // counts are small
-		Repeats:  uint32(max(usage.Repeats, 0)),  //nolint:gosec // counts are small
-	}
+	return uncounted
 }
 
 // sendRetryRequest passes a request to the granter of group 0, which may be this
-// daemon.
-func (l *Limiter) sendRetryRequest(request *peerpb.RetryRequest) (granted, answered bool) {
+// daemon. If there is no answer, the granter may have counted the usage: the repeats are
+// then reported again and the requests are not, so that the budget never grows by the
+// same request twice.
+func (l *Limiter) sendRetryRequest(service string, usage fleet.ServiceUsage, reportOnly bool) (granted bool, uncounted fleet.ServiceUsage) {
+	request := &peerpb.RetryRequest{
+		Service:    service,
+		Requests:   uint32(max(usage.Requests, 0)), //nolint:gosec // counts are small
+		Repeats:    uint32(max(usage.Repeats, 0)),  //nolint:gosec // counts are small
+		ReportOnly: reportOnly,
+	}
 	granter := l.Granter(0)
 	switch granter {
 	case "":
-		return false, false
+		return false, usage
 	case l.Self.Name:
-		return l.handleRetryRequest(request), true
+		return l.handleRetryRequest(request), fleet.ServiceUsage{}
 	}
 	answer := l.call(granter, &peerpb.Frame{Body: &peerpb.Frame_RetryRequest{RetryRequest: request}})
+	if answer == nil {
+		return false, fleet.ServiceUsage{Repeats: usage.Repeats}
+	}
 
-	return answer.GetRetryResult().GetGranted(), answer != nil
+	return answer.GetRetryResult().GetGranted(), fleet.ServiceUsage{}
 }
 
 // handleRetryRequest records the reported usage and reports whether the retry budget
--- a/internal/daemon/limits/limits_test.go
+++ b/internal/daemon/limits/limits_test.go
@@ -26,12 +26,14 @@
 	version uint64
 	puts    int
 	calls   int
+	// reported is the sum of the requests in all messages for a retry budget that arrived.
+	reported int
 	// loseAnswers makes successful writes return StoreAmbiguous.
 	loseAnswers bool
 	// storeUnavailable makes all calls to the store fail.
 	storeUnavailable bool
-	// isCut reports whether messages from one daemon to another are lost. A call fails
-	// if either direction is cut. If isCut is nil, no message is lost.
+	// isCut reports whether messages from one daemon to another are lost, requests as
+	// well as answers. If isCut is nil, no message is lost.
 	isCut func(from, to string) bool
 }
 
@@ -47,16 +49,29 @@
 	d.mu.Lock()
 	d.calls++
 	to := d.daemons[name]
-	cut := d.isCut != nil && (d.isCut(d.name, name) || d.isCut(name, d.name))
+	requestCut, answerCut := d.isCut != nil && d.isCut(d.name, name), d.isCut != nil && d.isCut(name, d.name)
 	d.mu.Unlock()
-	if cut {
+	if requestCut {
 		<-ctx.Done()
 	}
-	if to == nil || cut {
+	if to == nil || requestCut {
+		return nil, false
+	}
+	delivered := frame
+	if relay := frame.GetRelay(); relay.GetAsker() != "" {
+		delivered = relay.GetFrame()
+	}
+	d.mu.Lock()
+	d.reported += int(delivered.GetRetryRequest().GetRequests())
+	d.mu.Unlock()
+	answer, ok := to.limiter.Handle(ctx, d.name, frame)
+	if answerCut {
+		<-ctx.Done()
+
 		return nil, false
 	}
 
-	return to.limiter.Handle(ctx, d.name, frame)
+	return answer, ok
 }
 
 func (p *fakePlatform) Get(_ context.Context, kind, name string) (fleet.Object, fleet.StoreOutcome) {
@@ -353,17 +368,18 @@
 		daemons := startDaemons(newFakePlatform(), 5)
 		defer stopAll(daemons)
 		time.Sleep(10 * time.Second)
-		if !daemons[1].limiter.ReportUsage("Reported", fleet.ServiceUsage{Repeats: 100}) {
-			t.Error("got a report that was not counted")
+		if got := daemons[1].limiter.ReportUsage("Reported", fleet.ServiceUsage{Repeats: 100}); got != (fleet.ServiceUsage{}) {
+			t.Errorf("got %+v that was not counted, want none", got)
 		}
 		granted := map[string]int{}
 		for _, d := range daemons {
 			for range 50 {
 				for _, service := range []string{"Booking", "Reported"} {
-					if ok, answered := d.limiter.SpendRetry(service, fleet.ServiceUsage{}); ok {
+					if ok, _ := d.limiter.SpendRetry(service, fleet.ServiceUsage{}); ok {
 						granted[service]++
-					} else if !answered {
-						t.Fatal("got no answer about a retry")
+					}
+					if got := d.limiter.ReportUsage("Other", fleet.ServiceUsage{Requests: 1}); got != (fleet.ServiceUsage{}) {
+						t.Fatalf("got %+v that was not counted, want none", got)
 					}
 				}
 			}
@@ -377,6 +393,52 @@
 	})
 }
 
+// Guards against requests that raise the retry budget twice: the granter counted them and
+// its answer was lost, or they reached it both directly and through relays.
+func TestRetryCountsRequestsOnce(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name string
+		// isCut decides on a message from the granter.
+		isCut func(to, asker string) bool
+		// wantAll means that all requests must be counted.
+		wantAll bool
+	}{
+		{"no answer of the granter", func(string, string) bool { return true }, false},
+		{"no direct answer of the granter", func(to, asker string) bool { return to == asker }, true},
+		{"no cut", func(string, string) bool { return false }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				const requests = 50
+				p := newFakePlatform()
+				daemons := startDaemons(p, 6)
+				defer stopAll(daemons)
+				time.Sleep(10 * time.Second)
+				_, granter := grantedShares(daemons, 0)
+				asker := daemons[0]
+				if asker == granter {
+					asker = daemons[1]
+				}
+				p.mu.Lock()
+				p.isCut = func(from, to string) bool { return from == granter.name && tt.isCut(to, asker.name) }
+				p.mu.Unlock()
+				uncounted := fleet.ServiceUsage{Requests: requests}
+				for range 10 {
+					uncounted = asker.limiter.ReportUsage("Booking", uncounted)
+					time.Sleep(time.Second)
+				}
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				if p.reported > requests || tt.wantAll && p.reported < requests {
+					t.Errorf("got %d requests counted, want at most %d, all of them: %v", p.reported, requests, tt.wantAll)
+				}
+			})
+		})
+	}
+}
+
 // Guards against answering requests for groups that do not exist, and frames of other
 // types.
 func TestHandleRefuses(t *testing.T) {
--- a/internal/daemon/limits/relay.go
+++ b/internal/daemon/limits/relay.go
@@ -3,16 +3,22 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
-// relayDuration is how long calls to a daemon go through a relay before the daemon is
-// called directly again. Such a direct call costs callTimeout if the daemon is still
-// unreachable.
-const relayDuration = 5 * time.Second
+const (
+	// relayDuration is how long calls to a daemon go only through a relay before the
+	// daemon is called directly again as well.
+	relayDuration = 5 * time.Second
+	// maxRelays is the number of relays that are tried at once. While two of several
+	// availability zones are cut off from each other, the daemons of both are useless as
+	// relays, so that a single random one often fails.
+	maxRelays = 3
+)
 
 // relayTable holds the relays for the daemons that do not answer directly. It is safe
 // for concurrent use.
@@ -23,24 +29,28 @@
 
 type relayRoute struct {
 	relay string
-	// until is when the daemon is to be called directly again.
-	until time.Time
+	// probeAt is when the daemon is to be called directly again.
+	probeAt time.Time
 }
 
 func newRelayTable() *relayTable { return &relayTable{routes: map[string]relayRoute{}} }
 
 // lookup returns the name of the relay for calls to a daemon, or "" for direct calls.
-func (r *relayTable) lookup(daemon string) string {
+// Probe means that the caller should also call the daemon directly. It is true for one
+// caller in relayDuration.
+func (r *relayTable) lookup(daemon string) (relay string, probe bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	route := r.routes[daemon]
-	if route.relay != "" && time.Now().After(route.until) {
-		delete(r.routes, daemon)
-
-		return ""
+	route, ok := r.routes[daemon]
+	if !ok {
+		return "", false
+	}
+	if now := time.Now(); now.After(route.probeAt) {
+		probe = true
+		r.routes[daemon] = relayRoute{route.relay, now.Add(relayDuration)}
 	}
 
-	return route.relay
+	return route.relay, probe
 }
 
 func (r *relayTable) set(daemon, relay string) {
@@ -55,24 +65,87 @@
 	delete(r.routes, daemon)
 }
 
-// chooseRelay returns the name of a random live daemon other than daemon and self, or
-// "" if there is none.
-func (r *relayTable) chooseRelay(daemon, self string, live []string) string {
-	var others []string
-	for _, name := range live {
-		if name != daemon && name != self {
-			others = append(others, name)
+// chooseRelays returns the names of up to count random live daemons that are not
+// excluded.
+func chooseRelays(count int, live []string, excluded ...string) []string {
+	live = slices.DeleteFunc(live, func(name string) bool { return slices.Contains(excluded, name) })
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+
+	return live[:min(count, len(live))]
+}
+
+// call sends a frame to a daemon and returns its answer, or nil if there was none. If
+// the daemon does not answer directly, the frame is sent through relays. The receiver
+// may get the frame more than once; see repeated.
+func (l *Limiter) call(daemon string, frame *peerpb.Frame) *peerpb.Frame {
+	relay, probe := l.relays.lookup(daemon)
+	if probe {
+		l.goroutines.Go(func() {
+			if _, ok := l.callDirectly(daemon, repeated(frame)); ok {
+				l.relays.remove(daemon)
+			}
+		})
+	}
+	if relay == "" {
+		if answer, ok := l.callDirectly(daemon, frame); ok {
+			return answer
 		}
+	} else if answer := l.callViaRelay(relay, daemon, frame); answer != nil {
+		return answer
 	}
-	if len(others) == 0 {
-		return ""
+	if l.ctx.Err() != nil {
+		return nil
 	}
 
-	return others[rand.IntN(len(others))] //nolint:gosec // spreads the load
+	return l.callViaRelays(chooseRelays(maxRelays, l.Members.Live(), daemon, l.Self.Name, relay), daemon, repeated(frame))
 }
 
-// callViaRelay sends a frame to a daemon through a relay and returns the answer. If
-// there is none it returns nil and removes the relay from the table.
+// repeated returns the frame to send in a further copy of a frame that may have arrived. A
+// copy of a RetryRequest reports no requests, since the receiver counts each message. All
+// other frames have the same effect when they arrive twice.
+func repeated(frame *peerpb.Frame) *peerpb.Frame {
+	request := frame.GetRetryRequest()
+	if request == nil {
+		return frame
+	}
+
+	return &peerpb.Frame{Body: &peerpb.Frame_RetryRequest{RetryRequest: &peerpb.RetryRequest{
+		Service: request.GetService(), Repeats: request.GetRepeats(), ReportOnly: request.GetReportOnly(),
+	}}}
+}
+
+func (l *Limiter) callDirectly(daemon string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
+	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+	defer cancel()
+
+	return l.Peers.Call(ctx, daemon, frame)
+}
+
+// callViaRelays sends a frame to a daemon through several relays at once. It returns the
+// first answer and uses its relay from then on. If there is no answer it returns nil.
+func (l *Limiter) callViaRelays(relays []string, daemon string, frame *peerpb.Frame) *peerpb.Frame {
+	type relayed struct {
+		relay  string
+		answer *peerpb.Frame
+	}
+	answers := make(chan relayed, len(relays))
+	for _, relay := range relays {
+		l.goroutines.Go(func() { answers <- relayed{relay, l.callViaRelay(relay, daemon, frame)} })
+	}
+	for range relays {
+		if first := <-answers; first.answer != nil {
+			l.relays.set(daemon, first.relay)
+
+			return first.answer
+		}
+	}
+	l.relays.remove(daemon)
+
+	return nil
+}
+
+// callViaRelay sends a frame to a daemon through a relay and returns the answer, or nil
+// if there was none.
 func (l *Limiter) callViaRelay(relay, daemon string, frame *peerpb.Frame) *peerpb.Frame {
 	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 	defer cancel()
@@ -80,8 +153,6 @@
 		Relay: &peerpb.Relay{To: daemon, Frame: frame},
 	}})
 	if !ok {
-		l.relays.remove(daemon)
-
 		return nil
 	}
 
--- a/internal/daemon/limits/relay_test.go
+++ b/internal/daemon/limits/relay_test.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -64,3 +65,57 @@
 		}
 	})
 }
+
+// Guards against daemons behind a cut that turn to and fro between the granter, which
+// they reach only through some of the other daemons, and daemons without a majority:
+// requests inside the rate are then refused, although the granter has all the tokens.
+func TestCutBetweenZonesKeepsGranter(t *testing.T) {
+	t.Parallel()
+	for _, cutZones := range [][2]int{{0, 1}, {0, 2}, {1, 2}} {
+		t.Run(fmt.Sprint(cutZones), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				const (
+					zones        = 3
+					cutDuration  = 20 * time.Second
+					reactionTime = 3 * time.Second
+					// interval is the time between two requests at each daemon. The rate
+					// of all daemons together is 0.83 of the limit.
+					interval = 144 * time.Millisecond
+				)
+				p := newFakePlatform()
+				daemons := startDaemons(p, 2*zones)
+				defer stopAll(daemons)
+				zone := map[string]int{}
+				for i, d := range daemons {
+					zone[d.name] = i % zones
+				}
+				time.Sleep(10 * time.Second)
+				p.mu.Lock()
+				p.isCut = func(from, to string) bool { return zone[from] == cutZones[0] && zone[to] == cutZones[1] }
+				p.mu.Unlock()
+				var (
+					mu        sync.Mutex
+					waitGroup sync.WaitGroup
+				)
+				refused := map[string]int{}
+				for startedAt := time.Now(); time.Since(startedAt) < cutDuration; time.Sleep(interval) {
+					for _, d := range daemons {
+						sentAfter := time.Since(startedAt)
+						waitGroup.Go(func() {
+							if got := d.take("club", time.Second).Outcome; got != fleet.TokenGranted && sentAfter > reactionTime {
+								mu.Lock()
+								defer mu.Unlock()
+								refused[fmt.Sprintf("%s: %v", d.name, got)]++
+							}
+						})
+					}
+				}
+				waitGroup.Wait()
+				if len(refused) > 0 {
+					t.Errorf("got %v refused more than %s after the cut, want none", refused, reactionTime)
+				}
+			})
+		})
+	}
+}
