--- a/internal/adapter/peer/answer.go
+++ b/internal/adapter/peer/answer.go
@@ -17,8 +17,8 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/wire/peerpb"
 )
 
-// chunkBytes is the maximum size of the data in one AnswerChunk. An answer of known
-// length that is shorter than this is sent in one write.
+// chunkBytes is the maximum size of the data in one AnswerChunk, and of one write of an
+// attempt. An answer of known length that is shorter than this is sent in one write.
 const chunkBytes = 32 << 10
 
 var chunkPool = sync.Pool{New: func() any { b := make([]byte, chunkBytes); return &b }}
--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -49,7 +51,7 @@
 
 		return fleet.Refuse(fleet.ReasonCancelled, "cancelled before it was sent")
 	}
-	if sent, err := stream.Write(*out); err != nil {
+	if sent, err := writeInChunks(stream, *out); err != nil {
 		s.closeStream(stream, stopCancel)
 		if sent == 0 && failedBeforeQueueing(err) {
 			return fleet.Refuse(fleet.ReasonUnreachable, "the stream was closed before the attempt was sent")
@@ -86,6 +88,20 @@
 	}
 }
 
+// writeInChunks writes data to a stream in chunks of chunkBytes, so that the frames of other
+// streams of the session can be sent in between.
+func writeInChunks(stream io.Writer, data []byte) (sent int, err error) {
+	for chunk := range slices.Chunk(data, chunkBytes) {
+		n, err := stream.Write(chunk)
+		sent += n
+		if err != nil {
+			return sent, err
+		}
+	}
+
+	return sent, nil
+}
+
 // newReply returns the reply for an answer's head. Its body takes over the stream
 // and the reader.
 func (s *session) newReply(
--- a/internal/adapter/peer/conn.go
+++ b/internal/adapter/peer/conn.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// maxPendingBytes is the size of one full yamux stream window. Write blocks
-	// while this many bytes have not been passed to the network.
-	maxPendingBytes = 256 << 10
+	// maxPendingBytes is the number of bytes from which on Write blocks until they have
+	// been passed to the network. Small frames wait behind them, for about 25 ms on a link
+	// of 10 Mbit/s.
+	maxPendingBytes = 32 << 10
 	// maxRetainedBytes is the capacity above which a write buffer is discarded
 	// instead of reused, to bound the memory of an idle session.
 	maxRetainedBytes = 16 << 10
--- a/internal/adapter/peer/fixture_test.go
+++ b/internal/adapter/peer/fixture_test.go
@@ -22,6 +22,8 @@
 	dropWrites, dropReads atomic.Bool
 	// delay is the time before each write, in nanoseconds.
 	delay atomic.Int64
+	// largestWrite is the number of bytes of the largest write.
+	largestWrite atomic.Int64
 	// mu guards conns.
 	mu    sync.Mutex
 	conns []net.Conn
@@ -55,6 +57,9 @@
 }
 
 func (c *faultConn) Write(p []byte) (int, error) {
+	for largest := c.fault.largestWrite.Load(); int64(len(p)) > largest; largest = c.fault.largestWrite.Load() {
+		c.fault.largestWrite.CompareAndSwap(largest, int64(len(p)))
+	}
 	time.Sleep(time.Duration(c.fault.delay.Load()))
 	if c.fault.dropWrites.Load() {
 		return len(p), nil
--- a/internal/adapter/peer/session_test.go
+++ b/internal/adapter/peer/session_test.go
@@ -42,6 +42,35 @@
 	}
 }
 
+// Guards against small frames, such as requests for tokens, that wait behind whole uploads
+// on the same session until they time out.
+func TestUploadsLeaveRoomForOtherFrames(t *testing.T) {
+	// The slowest links carry 10 Mbit/s, and a call for tokens times out after 200 ms. Two
+	// batches, one on its way and the next one, must not take longer.
+	const mostBytes = 10_000_000 / 8 / 5 / 2
+	fault := &linkFault{}
+	fault.delay.Store(int64(time.Millisecond))
+	client, _, _ := newPair(t, fault.dial, testTiming(), func(ctx context.Context, a fleet.Attempt) fleet.Reply {
+		return answerWith(strings.NewReader(""), "0")(ctx, a)
+	})
+	var uploads sync.WaitGroup
+	for range 4 {
+		uploads.Go(func() {
+			reply := client.Run(t.Context(), "B", fleet.Attempt{Request: fleet.Request{Body: make([]byte, 1<<20)}})
+			if reply.Outcome != fleet.Ran {
+				t.Errorf("got %v %s for an upload, want Ran", reply.Outcome, reply.Detail)
+
+				return
+			}
+			_ = reply.Answer.Body.Close()
+		})
+	}
+	uploads.Wait()
+	if got := fault.largestWrite.Load(); got > mostBytes {
+		t.Errorf("got %d bytes in one write, want at most %d", got, mostBytes)
+	}
+}
+
 // Guards against attempts sent to the wrong daemon after an address was reused, and
 // against a new dial for each attempt while a daemon is unreachable.
 func TestDialing(t *testing.T) {
--- a/internal/config/inifile/section.go
+++ b/internal/config/inifile/section.go
@@ -113,13 +113,21 @@
 // PositiveNumber returns the value of a required key, which must be a decimal number
 // above zero and not above most.
 func (s *Section) PositiveNumber(key string, most float64) (float64, bool) {
-	expected := fmt.Sprintf("a number above 0 and up to %g", most)
+	return s.number(key, fmt.Sprintf("a number above 0 and up to %g", most), math.SmallestNonzeroFloat64, most)
+}
+
+// Number returns the value of a required key, which must be a number from 0 to most.
+func (s *Section) Number(key string, most float64) (float64, bool) {
+	return s.number(key, fmt.Sprintf("a number from 0 to %g", most), 0, most)
+}
+
+func (s *Section) number(key, expected string, least, most float64) (float64, bool) {
 	value, ok := s.Text(key, expected)
 	if !ok {
 		return 0, false
 	}
 	n, err := strconv.ParseFloat(value, 64)
-	if err != nil || math.IsNaN(n) || n <= 0 || n > most {
+	if err != nil || math.IsNaN(n) || n < least || n > most {
 		s.Report(key, fmt.Sprintf("%q is not accepted", value), expected)
 
 		return 0, false
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -40,7 +40,7 @@
 	// RetryShare and RetrySlack limit the extra attempts that all daemons together make
 	// for a service within 10 s: RetryShare for each request, plus RetrySlack.
 	RetryShare float64
-	RetrySlack int
+	RetrySlack float64
 	// RefuseIsolated makes a daemon refuse keys while it is isolated, that is, cannot
 	// learn whether they were withdrawn.
 	RefuseIsolated bool
@@ -271,7 +271,7 @@
 		b.RetryShare, _ = section.PositiveNumber("RetryShare", maxRetryShare)
 	}
 	if section.Has("RetrySlack") {
-		b.RetrySlack, _ = section.Integer("RetrySlack", 0, maxRetrySlack)
+		b.RetrySlack, _ = section.Number("RetrySlack", maxRetrySlack)
 	}
 	b.RefuseIsolated = section.Flag("RefuseIsolated")
 	section.ReportUnknownKeys("StopGrace, RetryShare, RetrySlack, RefuseIsolated")
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -39,6 +39,23 @@
 	}
 }
 
+// Guards against bounds of the platform that are not whole numbers and that a daemon
+// would reject at its start, and against a slack of 0 that is rejected.
+func TestParseRetrySlack(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]float64{"28.395": 28.395, "56": 56, "0": 0} {
+		settings, findings := Parse("d.ini", []byte(readExample(t, "lima")+"\n[Bounds]\nRetrySlack = "+text+"\n"))
+		if got := settings.Bounds.RetrySlack; len(findings) > 0 || got != want {
+			t.Errorf("got slack %g and findings %v, want %g", got, findings, want)
+		}
+	}
+	for _, text := range []string{"-1", "NaN", "2e6", "many"} {
+		if _, findings := Parse("d.ini", []byte(readExample(t, "lima")+"\n[Bounds]\nRetrySlack = "+text+"\n")); len(findings) != 1 {
+			t.Errorf("slack %s: got findings %v, want one", text, findings)
+		}
+	}
+}
+
 // Guards against invalid settings that are accepted and fail later, and against
 // findings without the file, section or key.
 func TestParseReportsEachFault(t *testing.T) {
--- a/internal/core/fleet/configuration.go
+++ b/internal/core/fleet/configuration.go
@@ -98,6 +98,8 @@
 	Keys map[KeyHash]string
 	// Limits bound what callers may send.
 	Limits CallerLimits
+	// Warnings describe values that are not known, and how they are treated.
+	Warnings []string
 }
 
 // TokenOutcome is the result of requesting one token of a client account.
--- a/internal/daemon/document/follower.go
+++ b/internal/daemon/document/follower.go
@@ -316,6 +316,9 @@
 	f.Notify()
 	f.Log.Info("configuration installed", "version", configuration.Version, "before", old, "from", origin,
 		"routes", len(configuration.Routes), "client_accounts", configuration.ClientAccounts.Len(), "keys", len(configuration.Keys))
+	for _, warning := range configuration.Warnings {
+		f.Log.Warn("configuration has a value that is not known", "version", configuration.Version, "from", origin, "warning", warning)
+	}
 	f.Entries.Publish(headEntry(configuration.Version, hash))
 }
 
--- a/internal/daemon/ingress/attempt.go
+++ b/internal/daemon/ingress/attempt.go
@@ -70,7 +70,7 @@
 	}
 
 	s.result.sent = s
-	d.latest, d.acceptBy = s, now.Add(d.AcceptTimeout)
+	d.latest, d.acceptBy = s, now.Add(d.AcceptTimeout+transferTime(len(s.attempt.Request.Body)))
 
 	if d.AcceptTimeout > 0 {
 		s.attempt.OnAccepted = func() { d.markAccepted(s) }
@@ -89,6 +89,16 @@
 	return true
 }
 
+// minTransferRate is the rate, in bytes per second, at which the body of an attempt
+// reaches its egress over the slowest link of an instance, 10 Mbit/s, with some room for
+// other traffic.
+const minTransferRate = 1 << 20
+
+// transferTime returns how long a body of that many bytes may be on its way.
+func transferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / minTransferRate
+}
+
 // size returns the approximate size of the request in bytes.
 func (d *dispatcher) size() int {
 	size := len(d.request.Target) + len(d.request.Body)
--- a/internal/daemon/ingress/attempts_test.go
+++ b/internal/daemon/ingress/attempts_test.go
@@ -196,6 +196,54 @@
 	}
 }
 
+// TestLargeBodyIsNotCancelledInTransfer guards against the cancel of an attempt whose body is
+// still on its way over a slow link, and against waiting longer for a small one.
+func TestLargeBodyIsNotCancelledInTransfer(t *testing.T) {
+	t.Parallel()
+
+	const arrival = 500 * time.Millisecond
+
+	for _, tt := range []struct {
+		name     string
+		body     int
+		attempts int
+	}{
+		{"small", 1 << 10, 2},
+		{"upload", 360 << 10, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ok := acceptThen(answer(http.StatusOK, "whole"))
+				slow := func(ctx context.Context, a fleet.Attempt) fleet.Reply {
+					select {
+					case <-time.After(arrival):
+						return ok(ctx, a)
+					case <-ctx.Done():
+						return fleet.Fail(fleet.ReasonCancelled, "")
+					}
+				}
+				deps := &fakeDependencies{cancelResult: fleet.CancelNotRun, replies: []func(context.Context, fleet.Attempt) fleet.Reply{slow, ok}}
+				deps.candidates = []balance.Candidate{
+					{Upstream: "u0", Daemon: "u0", Slots: 3, State: fleet.Ready, SameZone: true},
+					{Upstream: "u1", Daemon: "u1", Slots: 3, State: fleet.Ready, SameZone: true},
+				}
+				in := newPlatformIngress(t, deps, &fakeBudget{})
+				r := request("POST", "/book", testKey)
+				r.Request.Body = make([]byte, tt.body)
+				reply := in.Forward(t.Context(), r)
+				closeBody(reply)
+				time.Sleep(2 * arrival)
+				synctest.Wait()
+
+				if reply.Outcome != fleet.Ran || len(deps.attempts) != tt.attempts {
+					t.Errorf("got %v after %d attempts, want Ran after %d", reply.Outcome, len(deps.attempts), tt.attempts)
+				}
+			})
+		})
+	}
+}
+
 // TestSlotCheckBeforeLargeRequests guards against large requests that are sent to another
 // availability zone in vain, and against slot checks that are treated as attempts.
 func TestSlotCheckBeforeLargeRequests(t *testing.T) {
--- a/internal/daemon/server/limits.go
+++ b/internal/daemon/server/limits.go
@@ -19,7 +19,7 @@
 		Groups: groupCount, Peers: d.network, Store: d.store, Members: d.membership, Clock: boottime.Clock{},
 		Random: newRandom(), Log: d.log,
 		RetryBudget: pool.RetryBudget{
-			Ratio: d.settings.Bounds.RetryShare, Slack: float64(d.settings.Bounds.RetrySlack), Window: retryWindow,
+			Ratio: d.settings.Bounds.RetryShare, Slack: d.settings.Bounds.RetrySlack, Window: retryWindow,
 		},
 	})
 	d.limits = limiter
