Bound what an upstream's bytes without end may cost

Cause: the head of an answer could be 1 MiB, whose header lines take ten times as much memory once parsed: three slots of an upstream that sends them exceed the 32 MB of a small instance. The body of an answer that says that a request was shed was read until the request's deadline if it came slowly, so that the request was not sent elsewhere.

Change: heads are bounded at 64 KiB; a body that is not forwarded is waited for 50 ms.

--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -32,12 +32,17 @@
 	// maxIdleConnsPerUpstream limits the idle connections that are kept for one
 	// upstream. It is enough for an upstream whose slots were all in use.
 	maxIdleConnsPerUpstream = 64
-	// maxHeadBytes limits the status line and the header of an answer.
-	maxHeadBytes = 1 << 20
+	// maxHeadBytes limits the status line and the header of an answer, together with the
+	// informational answers before it. A parsed header takes up to ten times as much
+	// memory.
+	maxHeadBytes = 64 << 10
 	// maxDiscardBytes is how much of the body of an answer that is not forwarded is
 	// read so that its connection can be reused. For a longer body the connection is
 	// closed.
 	maxDiscardBytes = 64 << 10
+	// discardTimeout is how long such a body is waited for, as it holds up the result. It
+	// usually arrives together with the head.
+	discardTimeout = 50 * time.Millisecond
 	// maxForeignAnswers is how many answers to other requests are received on a
 	// connection before it is closed.
 	maxForeignAnswers = 3
@@ -167,12 +172,17 @@
 	return fleet.Answer{}, fleet.CallForeign
 }
 
-// discardBody reads the answer's body up to maxDiscardBytes and reports whether the
-// connection can be reused.
+// discardBody reads the answer's body, up to maxDiscardBytes and for discardTimeout, and
+// reports whether the connection can be reused.
 func (x *exchange) discardBody(response *http.Response) bool {
+	if response.Close {
+		return false
+	}
+	timer := time.AfterFunc(discardTimeout, x.conn.abort)
+	defer timer.Stop()
 	n, err := io.CopyN(io.Discard, response.Body, maxDiscardBytes+1)
 
-	return errors.Is(err, io.EOF) && n <= maxDiscardBytes && !response.Close
+	return errors.Is(err, io.EOF) && n <= maxDiscardBytes && timer.Stop()
 }
 
 // failureResult closes the connection and returns the result for an answer whose head
