Cancel an attempt through other daemons when its egress does not answer

Ruled out: sending them elsewhere without a confirmation (may run twice); a shorter time until the session is given up (the outcome stays unknown).

Change: a cancel without an answer after 50 ms is also sent through three other daemons, as frames for the granter are. The egress cancels it by the attempt's ID, also if the session of its ingress has ended, since no attempt of that session is admitted then; it leaves a tombstone, so that the attempt does not start when it arrives later. The daemon that forwards it names the asker, which must be the attempt's ingress.

Cost: three messages for each cancel that is not answered, nothing otherwise.

--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -168,13 +168,35 @@
 func (n *Network) Cancel(
 	ctx context.Context, daemon string, id fleet.AttemptID, egressIncarnation uint64,
 ) fleet.CancelResult {
-	frame := &peerpb.Frame{Body: &peerpb.Frame_Cancel{
-		Cancel: &peerpb.Cancel{ID: fromID(id), EgressIncarnation: egressIncarnation},
-	}}
-	answer, ok := n.exchange(ctx, n.acquireAuxiliary(ctx, daemon), frame)
+	answer, ok := n.exchange(ctx, n.acquireAuxiliary(ctx, daemon), CancelFrame(id, egressIncarnation))
 	if !ok {
 		return fleet.CancelUnknown
 	}
+
+	return CancelResultOf(answer)
+}
+
+// CancelFrame returns the frame that cancels an attempt that was sent to an incarnation of a
+// daemon.
+func CancelFrame(id fleet.AttemptID, egressIncarnation uint64) *peerpb.Frame {
+	return &peerpb.Frame{Body: &peerpb.Frame_Cancel{
+		Cancel: &peerpb.Cancel{ID: fromID(id), EgressIncarnation: egressIncarnation},
+	}}
+}
+
+// CancelResultFrame returns the answer to a frame of CancelFrame.
+func CancelResultFrame(result fleet.CancelResult) *peerpb.Frame {
+	return &peerpb.Frame{Body: &peerpb.Frame_CancelResult{
+		CancelResult: &peerpb.CancelResult{Result: uint32(result)}, //nolint:gosec // results are small
+	}}
+}
+
+// ToAttemptID returns the ID of the attempt that a frame names.
+func ToAttemptID(id *peerpb.AttemptID) fleet.AttemptID { return toID(id) }
+
+// CancelResultOf returns the result in the answer to a cancel. It is CancelUnknown for nil
+// and for other frames.
+func CancelResultOf(answer *peerpb.Frame) fleet.CancelResult {
 	switch fleet.CancelResult(answer.GetCancelResult().GetResult()) {
 	case fleet.CancelNotRun:
 		return fleet.CancelNotRun
--- a/internal/adapter/peer/server.go
+++ b/internal/adapter/peer/server.go
@@ -193,9 +193,7 @@
 		n.serveAttempt(ctx, a, stream, body.Attempt)
 	case *peerpb.Frame_Cancel:
 		result := n.handler.Cancel(ctx, n.attemptSession(a), toID(body.Cancel.ID), body.Cancel.EgressIncarnation)
-		writeFrame(stream, &peerpb.Frame{Body: &peerpb.Frame_CancelResult{
-			CancelResult: &peerpb.CancelResult{Result: uint32(result)}, //nolint:gosec // results are small
-		}})
+		writeFrame(stream, CancelResultFrame(result))
 	default:
 		n.serveControl(ctx, a, stream, frame)
 	}
--- a/internal/core/attempt/model_test.go
+++ b/internal/core/attempt/model_test.go
@@ -189,13 +189,19 @@
 		}
 		m.refuse(t, m.registry.OpenSession(f.session, m.now).RemovedAttempts...)
 	case cancel:
+		relayed := rapid.Bool().Draw(t, "relayed")
 		result, wasQueued := m.registry.Cancel(f.session, id, f.attempt.EgressIncarnation, m.now)
+		if relayed && result == fleet.CancelUnknown {
+			result, wasQueued = m.registry.CancelRelayed(id, f.attempt.EgressIncarnation, m.now)
+		}
 		if wasQueued {
 			m.queue.Remove(id)
 			delete(m.waiting, id)
 		}
 		if result == fleet.CancelNotRun {
-			m.checkFence(t, f)
+			if !relayed {
+				m.checkFence(t, f)
+			}
 			m.confirm(t, id)
 		}
 	case request:
--- a/internal/core/attempt/registry.go
+++ b/internal/core/attempt/registry.go
@@ -252,7 +252,22 @@
 func (r *Registry) Cancel(
 	session fleet.Session, id fleet.AttemptID, egressIncarnation uint64, now time.Time,
 ) (fleet.CancelResult, bool) {
-	in := r.currentIngress(session, id)
+	return r.cancel(r.currentIngress(session, id), id, egressIncarnation, now)
+}
+
+// CancelRelayed is like Cancel, for a cancel that did not arrive on a session of the
+// attempt's ingress. That session may have ended; none of its attempts is admitted then.
+func (r *Registry) CancelRelayed(id fleet.AttemptID, egressIncarnation uint64, now time.Time) (fleet.CancelResult, bool) {
+	in := r.ingresses[id.Ingress]
+	if in != nil && in.incarnation != id.Incarnation {
+		in = nil
+	}
+
+	return r.cancel(in, id, egressIncarnation, now)
+}
+
+// cancel cancels an attempt of an ingress, which is nil if it is not tracked.
+func (r *Registry) cancel(in *ingressState, id fleet.AttemptID, egressIncarnation uint64, now time.Time) (fleet.CancelResult, bool) {
 	if in == nil || egressIncarnation != 0 && egressIncarnation != r.incarnation {
 		return fleet.CancelUnknown, false
 	}
--- a/internal/core/attempt/registry_test.go
+++ b/internal/core/attempt/registry_test.go
@@ -382,3 +382,47 @@
 		})
 	}
 }
+
+// TestCancelRelayed guards against an attempt that starts after its relayed cancel was
+// confirmed, and against one that is confirmed as not run although it has run or may have
+// run under another incarnation.
+func TestCancelRelayed(t *testing.T) {
+	t.Parallel()
+
+	one := attemptOf(session, 1)
+	for name, tt := range map[string]struct {
+		setUp  func(r *Registry)
+		id     fleet.AttemptID
+		sentTo uint64
+		want   fleet.CancelResult
+	}{
+		"not arrived":                   {func(*Registry) {}, one.ID, egressIncarnation, fleet.CancelNotRun},
+		"not arrived, session closed":   {func(r *Registry) { r.CloseSession(session, epoch) }, one.ID, egressIncarnation, fleet.CancelNotRun},
+		"queued":                        {func(r *Registry) { r.Admit(session, one, epoch) }, one.ID, egressIncarnation, fleet.CancelNotRun},
+		"started":                       {func(r *Registry) { start(r, session, 1) }, one.ID, egressIncarnation, fleet.CancelStarted},
+		"sent to another incarnation":   {func(*Registry) {}, one.ID, egressIncarnation - 1, fleet.CancelUnknown},
+		"sent to an unknown one":        {func(*Registry) {}, one.ID, 0, fleet.CancelUnknown},
+		"ingress never had a session":   {func(*Registry) {}, fleet.AttemptID{Ingress: "z", Incarnation: 1, Sequence: 1}, egressIncarnation, fleet.CancelUnknown},
+		"earlier run of the ingress":    {func(*Registry) {}, fleet.AttemptID{Ingress: "a", Incarnation: 0, Sequence: 1}, egressIncarnation, fleet.CancelUnknown},
+		"ran, then the session was cut": {func(r *Registry) { start(r, session, 1); r.CloseSession(session, epoch) }, one.ID, egressIncarnation, fleet.CancelStarted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			r := New(egressIncarnation, smallLimits())
+			r.OpenSession(session, epoch)
+			tt.setUp(r)
+
+			got, _ := r.CancelRelayed(tt.id, tt.sentTo, epoch)
+			if got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+
+			r.OpenSession(session, epoch)
+
+			if verdict := r.Admit(session, one, epoch).Verdict; got == fleet.CancelNotRun && verdict == Admitted {
+				t.Error("the attempt was admitted after it was confirmed as not run")
+			}
+		})
+	}
+}
--- a/internal/daemon/egress/egress.go
+++ b/internal/daemon/egress/egress.go
@@ -227,9 +227,24 @@
 func (e *Egress) CancelForIncarnation(
 	_ context.Context, session fleet.Session, id fleet.AttemptID, egressIncarnation uint64,
 ) fleet.CancelResult {
+	return e.cancel(id, func(now time.Time) (fleet.CancelResult, bool) {
+		return e.registry.Cancel(session, id, egressIncarnation, now)
+	})
+}
+
+// CancelRelayed is like CancelForIncarnation, for a cancel that another daemon forwarded
+// for the attempt's ingress.
+func (e *Egress) CancelRelayed(id fleet.AttemptID, egressIncarnation uint64) fleet.CancelResult {
+	return e.cancel(id, func(now time.Time) (fleet.CancelResult, bool) {
+		return e.registry.CancelRelayed(id, egressIncarnation, now)
+	})
+}
+
+// cancel cancels an attempt in the registry and removes it from its queue.
+func (e *Egress) cancel(id fleet.AttemptID, cancelRecord func(now time.Time) (fleet.CancelResult, bool)) fleet.CancelResult {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	result, wasQueued := e.registry.Cancel(session, id, egressIncarnation, time.Now())
+	result, wasQueued := cancelRecord(time.Now())
 	if wasQueued {
 		e.deliverRefusal(id, fleet.Refuse(fleet.ReasonCancelled, "the ingress cancelled the attempt"))
 	}
--- a/internal/daemon/limits/relay.go
+++ b/internal/daemon/limits/relay.go
@@ -121,6 +121,13 @@
 	return l.Peers.Call(ctx, daemon, frame)
 }
 
+// CallThroughRelays sends a frame to a daemon that does not answer directly, through several
+// other daemons at once, so that it may arrive more than once. It returns the first answer,
+// or nil.
+func (l *Limiter) CallThroughRelays(daemon string, frame *peerpb.Frame) *peerpb.Frame {
+	return l.callViaRelays(chooseRelays(maxRelays, l.Members.Live(), daemon, l.Self.Name), daemon, frame)
+}
+
 // callViaRelays sends a frame to a daemon through several relays at once. It returns the
 // first answer and uses its relay from then on. If there is no answer it returns nil.
 func (l *Limiter) callViaRelays(relays []string, daemon string, frame *peerpb.Frame) *peerpb.Frame {
--- a/internal/daemon/server/handler.go
+++ b/internal/daemon/server/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/adapter/peer"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
@@ -104,18 +105,42 @@
 	switch body := frame.GetBody().(type) {
 	case *peerpb.Frame_FetchPart:
 		return &peerpb.Frame{Body: &peerpb.Frame_Part{Part: h.loader.HandleFetchPart(body.FetchPart)}}, true
-	case *peerpb.Frame_Pledge, *peerpb.Frame_TokenRequest, *peerpb.Frame_Relay, *peerpb.Frame_RetryRequest:
+	case *peerpb.Frame_Relay:
+		if cancel := body.Relay.GetFrame().GetCancel(); cancel != nil && body.Relay.GetTo() == h.settings.Name {
+			return h.cancelRelayed(body.Relay.GetAsker(), cancel)
+		}
+
+		return h.limits.Handle(ctx, from, frame)
+	case *peerpb.Frame_Pledge, *peerpb.Frame_TokenRequest, *peerpb.Frame_RetryRequest:
 		return h.limits.Handle(ctx, from, frame)
 	}
 
 	return h.membership.Handle(ctx, from, frame)
 }
 
+// cancelRelayed cancels an attempt for an ingress that cannot reach this daemon. It returns
+// false if the attempt is not one of that ingress.
+func (h *handler) cancelRelayed(asker string, cancel *peerpb.Cancel) (*peerpb.Frame, bool) {
+	id := peer.ToAttemptID(cancel.GetID())
+	if id.Ingress != asker {
+		return nil, false
+	}
+
+	return peer.CancelResultFrame(h.egress.CancelRelayed(id, cancel.GetEgressIncarnation())), true
+}
+
+// relayDelay is how long a cancel waits for its direct answer before it is sent through other
+// daemons as well. It is many round trips between availability zones.
+const relayDelay = 50 * time.Millisecond
+
 // egressRouter routes attempts of the daemon's own ingress to the egress of any
 // daemon. The local egress is called directly, others through the network.
 type egressRouter struct {
 	network *peer.Network
-	local   *egress.Egress
+	// relay sends a frame to the named daemon through other daemons. It returns nil without
+	// an answer.
+	relay func(daemon string, frame *peerpb.Frame) *peerpb.Frame
+	local *egress.Egress
 	// ownSession identifies the daemon's own ingress at the local egress.
 	ownSession fleet.Session
 }
@@ -129,13 +154,49 @@
 	return f.local.Run(ctx, f.ownSession, attempt)
 }
 
-// Cancel cancels an attempt at the egress of the named daemon.
+// Cancel cancels an attempt at the egress of the named daemon. If the daemon does not answer,
+// for example because the path to it is cut, other daemons are asked to forward the cancel.
 func (f egressRouter) Cancel(
 	ctx context.Context, daemon string, id fleet.AttemptID, egressIncarnation uint64,
 ) fleet.CancelResult {
 	if daemon != f.ownSession.Daemon {
-		return f.network.Cancel(ctx, daemon, id, egressIncarnation)
+		return f.cancelRemote(ctx, daemon, id, egressIncarnation)
 	}
 
 	return f.local.CancelForIncarnation(ctx, f.ownSession, id, egressIncarnation)
 }
+
+// cancelRemote returns the first result, of the direct and the relayed cancel, that is not
+// CancelUnknown.
+func (f egressRouter) cancelRemote(
+	ctx context.Context, daemon string, id fleet.AttemptID, egressIncarnation uint64,
+) fleet.CancelResult {
+	results := make(chan fleet.CancelResult, 2)
+
+	go func() { results <- f.network.Cancel(ctx, daemon, id, egressIncarnation) }()
+
+	select {
+	case result := <-results:
+		if result != fleet.CancelUnknown {
+			return result
+		}
+
+		results <- result
+	case <-time.After(relayDelay):
+	}
+
+	go func() { results <- peer.CancelResultOf(f.relay(daemon, peer.CancelFrame(id, egressIncarnation))) }()
+
+	for range cap(results) {
+		select {
+		case result := <-results:
+			if result != fleet.CancelUnknown {
+				return result
+			}
+		case <-ctx.Done():
+			return fleet.CancelUnknown
+		}
+	}
+
+	return fleet.CancelUnknown
+}
--- a/internal/daemon/server/partition_test.go
+++ b/internal/daemon/server/partition_test.go
@@ -147,3 +147,48 @@
 		})
 	}
 }
+
+// TestBookingsBehindCut guards against bookings that are left without a known outcome
+// because neither they nor their cancel can reach an upstream's daemon, although another
+// daemon reaches it and could confirm that they have not run.
+func TestBookingsBehindCut(t *testing.T) {
+	f := newFleet(t, defaultZones...)
+
+	var streams []load.Stream
+	for i := range f.daemons {
+		streams = append(streams, f.bookStream("Steady", 30, i))
+	}
+
+	var cutAt time.Time
+
+	results := f.runTraffic(t, streams, func() {
+		time.Sleep(time.Second)
+		f.network.cut(path{"a", "b"}, path{"b", "a"})
+
+		// Requests that were sent before the cut may have run.
+		time.Sleep(200 * time.Millisecond)
+
+		cutAt = time.Now()
+
+		time.Sleep(4 * time.Second)
+		f.network.restore()
+	})
+
+	report := load.Compare(results, streams, f.runCounts(), func(load.Result) bool { return true })
+	if report.Doubled+report.FalselyNotRun+report.Wrong+report.Lost > 0 {
+		t.Errorf("got %d doubled, %d falsely not run, %d wrong, %d lost of %d, want none",
+			report.Doubled, report.FalselyNotRun, report.Wrong, report.Lost, report.Requests)
+	}
+
+	unknown := make(map[string]int)
+
+	for _, result := range results {
+		if result.Sent.After(cutAt) && result.Sent.Before(cutAt.Add(2*time.Second)) && result.Verdict == load.Unknown {
+			unknown[result.Stream+" "+refusalReason(result)]++
+		}
+	}
+
+	if len(unknown) > 0 {
+		t.Errorf("got bookings of unknown outcome %v, want none", unknown)
+	}
+}
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -327,7 +327,7 @@
 
 	dependencies := ingress.Dependencies{
 		Name: d.settings.Name, Incarnation: incarnation, Service: d.settings.Service,
-		Egress:  egressRouter{network: d.network, local: d.egress, ownSession: ownSession},
+		Egress:  egressRouter{network: d.network, local: d.egress, ownSession: ownSession, relay: d.limits.CallThroughRelays},
 		Limiter: d.limits, Candidates: d.directory, ContactSource: d, NestedCalls: d.egress,
 		Keys: d.keys, Random: newRandom(), Log: d.log, Metrics: requests, AcceptTimeout: acceptTimeout,
 	}
