End the calls of relays with the limiter, not with its wait group

Cause, found by reading: a cancel may call relays while the limiter stops, and a wait group must not grow from zero while it is waited for; the process could have ended in a panic during a planned stop.

--- a/internal/daemon/limits/relay.go
+++ b/internal/daemon/limits/relay.go
@@ -80,11 +80,11 @@
 func (l *Limiter) call(daemon string, frame *peerpb.Frame) *peerpb.Frame {
 	relay, probe := l.relays.lookup(daemon)
 	if probe {
-		l.goroutines.Go(func() {
+		go func() {
 			if _, ok := l.callDirectly(daemon, repeated(frame)); ok {
 				l.relays.remove(daemon)
 			}
-		})
+		}()
 	}
 	if relay == "" {
 		if answer, ok := l.callDirectly(daemon, frame); ok {
@@ -129,7 +129,8 @@
 }
 
 // callViaRelays sends a frame to a daemon through several relays at once. It returns the
-// first answer and uses its relay from then on. If there is no answer it returns nil.
+// first answer and uses its relay from then on. If there is no answer it returns nil. The
+// calls of the other relays end with callTimeout or the limiter.
 func (l *Limiter) callViaRelays(relays []string, daemon string, frame *peerpb.Frame) *peerpb.Frame {
 	type relayed struct {
 		relay  string
@@ -137,7 +138,7 @@
 	}
 	answers := make(chan relayed, len(relays))
 	for _, relay := range relays {
-		l.goroutines.Go(func() { answers <- relayed{relay, l.callViaRelay(relay, daemon, frame)} })
+		go func() { answers <- relayed{relay, l.callViaRelay(relay, daemon, frame)} }()
 	}
 	for range relays {
 		if first := <-answers; first.answer != nil {
