Log why a configuration was installed late

An install logged the version and its origin. That cannot tell apart a daemon that nobody told and that read nothing, one that knew of the version and could not fetch it, one that was given an old value, and one that waited for its processor.

An install now says how long the daemon knew of a newer version, how old the last answer of the store is and how long decoding took; a failed attempt to fetch says how many peers were asked and how many of them did not have the version; a value below the newest known head is logged. No decision changes.

--- a/internal/daemon/document/follower.go
+++ b/internal/daemon/document/follower.go
@@ -134,6 +134,9 @@
 	storeContact atomic.Pointer[time.Time]
 	// storeUnavailable says that the store did not answer the last read.
 	storeUnavailable atomic.Bool
+	// behindSince is when this daemon learned of a head newer than the installed version,
+	// nil while it knows of none.
+	behindSince atomic.Pointer[time.Time]
 
 	// Subscribers are notified after each installation.
 	broadcast.Subscribers
@@ -276,6 +279,15 @@
 	return 0
 }
 
+// age returns the time since at, or 0 if at is nil.
+func age(at *time.Time) time.Duration {
+	if at == nil {
+		return 0
+	}
+
+	return time.Since(*at)
+}
+
 // installObject installs the value of an object if it is the configuration's object. The
 // parameter origin is logged.
 func (f *Follower) installObject(object fleet.Object, origin string) {
@@ -293,6 +305,7 @@
 	if current := f.current.Load(); current != nil && current.hash == hash {
 		return
 	}
+	received := time.Now()
 	configuration, err := f.Source.Decode(value)
 	f.mu.Lock()
 	if err != nil {
@@ -308,6 +321,9 @@
 	old := f.installedVersion()
 	if configuration.Version <= old {
 		f.mu.Unlock()
+		if head := f.newestHead().GetVersion(); head > configuration.Version {
+			f.Log.Info("configuration received is old", "version", configuration.Version, "running", old, "newest_head", head, "from", origin)
+		}
 
 		return
 	}
@@ -315,6 +331,7 @@
 	f.mu.Unlock()
 	f.Notify()
 	f.Log.Info("configuration installed", "version", configuration.Version, "before", old, "from", origin,
+		"behind", age(f.behindSince.Swap(nil)), "store_answer_age", age(f.storeContact.Load()), "decoding", time.Since(received),
 		"routes", len(configuration.Routes), "client_accounts", configuration.ClientAccounts.Len(), "keys", len(configuration.Keys))
 	for _, warning := range configuration.Warnings {
 		f.Log.Warn("configuration has a value that is not known", "version", configuration.Version, "from", origin, "warning", warning)
@@ -336,6 +353,8 @@
 
 			continue
 		}
+		now := time.Now()
+		f.behindSince.CompareAndSwap(nil, &now)
 		// Usually the store delivers the version during this delay, so that it need not
 		// be fetched from peers.
 		sleep(ctx, peerRetryDelay)
@@ -358,6 +377,7 @@
 	}
 	request := &peerpb.Frame{Body: &peerpb.Frame_FetchPart{FetchPart: &peerpb.FetchPart{Hash: hash}}}
 	var calls sync.WaitGroup
+	var asked, absent atomic.Int64
 	for _, daemon := range f.Members.PeersOwnZoneFirst(peersPerFetch) {
 		if f.installedVersion() > before {
 			break
@@ -365,9 +385,13 @@
 		done := make(chan struct{})
 		calls.Go(func() {
 			defer close(done)
+			asked.Add(1)
 			answer, ok := f.Peers.Call(ctx, daemon, request)
-			if ok && answer.GetPart().GetFound() {
+			switch {
+			case ok && answer.GetPart().GetFound():
 				f.install(answer.GetPart().GetValue(), daemon)
+			case ok:
+				absent.Add(1)
 			}
 		})
 		timer := time.NewTimer(nextPeerDelay)
@@ -378,6 +402,10 @@
 		timer.Stop()
 	}
 	calls.Wait()
+	if f.installedVersion() == before && asked.Load() > 0 {
+		f.Log.Info("configuration not fetched", "running", before, "newest_head", f.newestHead().GetVersion(),
+			"asked", asked.Load(), "not_found", absent.Load(), "behind", age(f.behindSince.Load()))
+	}
 }
 
 // newestHead returns the newest head among the replicated entries that this daemon has
