Let each daemon watch the configuration's object itself

Seen: CONFIG, "refused with 404 as an older version says; version 58 was acked more than 2500 ms before", by daemons that the store served all the while.

Cause: only two daemons of a zone, the relays, watched the object. The others read a replica every 2 to 6 s and otherwise depended on the heads that peers announce, while a change must be in force within 2 to 3 s. A daemon whose relays or peers are cut off was late although the store would have told it. The class: freshness that is owed from the store was had only through others.

Change: all daemons watch. Relays hold their watch for 5/8 of the new bound ConfigurationDelay; the others for 20 s, and abandon it when no peer has answered for 5/8 of the bound, or when peers knew of a version for 2/8 of it that the watch did not deliver. After a failure a daemon reads the object instead of watching again. Watches after a change are spread over an eighth of the bound.

--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -37,6 +37,9 @@
 type Bounds struct {
 	// StopGrace is the time that a process has to stop before the platform kills it.
 	StopGrace time.Duration
+	// ConfigurationDelay is the time within which a change of the configuration must be
+	// in force on every daemon.
+	ConfigurationDelay time.Duration
 	// RetryShare and RetrySlack limit the extra attempts that all daemons together make
 	// for a service within 10 s: RetryShare for each request, plus RetrySlack.
 	RetryShare float64
@@ -256,10 +259,13 @@
 // Ranges of the values of section Bounds. RetryShare has no lower limit but must be
 // above zero, and RetrySlack may be zero.
 const (
-	minStopGrace  = time.Second
-	maxStopGrace  = time.Hour
-	maxRetryShare = 10
-	maxRetrySlack = 1_000_000
+	minStopGrace = time.Second
+	maxStopGrace = time.Hour
+	// Below 100 ms, each daemon would call the store more than 16 times a second.
+	minConfigurationDelay = 100 * time.Millisecond
+	maxConfigurationDelay = time.Hour
+	maxRetryShare         = 10
+	maxRetrySlack         = 1_000_000
 )
 
 func (p *parser) parseBounds(section *inifile.Section) {
@@ -267,6 +273,9 @@
 	if section.Has("StopGrace") {
 		b.StopGrace, _ = section.Duration("StopGrace", minStopGrace, maxStopGrace)
 	}
+	if section.Has("ConfigurationDelay") {
+		b.ConfigurationDelay, _ = section.Duration("ConfigurationDelay", minConfigurationDelay, maxConfigurationDelay)
+	}
 	if section.Has("RetryShare") {
 		b.RetryShare, _ = section.PositiveNumber("RetryShare", maxRetryShare)
 	}
@@ -274,5 +283,5 @@
 		b.RetrySlack, _ = section.Number("RetrySlack", maxRetrySlack)
 	}
 	b.RefuseIsolated = section.Flag("RefuseIsolated")
-	section.ReportUnknownKeys("StopGrace, RetryShare, RetrySlack, RefuseIsolated")
+	section.ReportUnknownKeys("StopGrace, ConfigurationDelay, RetryShare, RetrySlack, RefuseIsolated")
 }
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 )
 
 // readExample returns the example settings file of a deployment.
@@ -56,6 +57,23 @@
 	}
 }
 
+// Guards against a bound for changes of the configuration that is lost, or that makes each
+// daemon call the store without end.
+func TestParseConfigurationDelay(t *testing.T) {
+	t.Parallel()
+	for text, want := range map[string]time.Duration{"2s": 2 * time.Second, "2.5s": 2500 * time.Millisecond, "17s": 17 * time.Second} {
+		settings, findings := Parse("d.ini", []byte(readExample(t, "lima")+"\n[Bounds]\nConfigurationDelay = "+text+"\n"))
+		if got := settings.Bounds.ConfigurationDelay; len(findings) > 0 || got != want {
+			t.Errorf("got %v and findings %v, want %v", got, findings, want)
+		}
+	}
+	for _, text := range []string{"0s", "-1s", "1ms", "2", "soon"} {
+		if _, findings := Parse("d.ini", []byte(readExample(t, "lima")+"\n[Bounds]\nConfigurationDelay = "+text+"\n")); len(findings) != 1 {
+			t.Errorf("delay %s: got findings %v, want one", text, findings)
+		}
+	}
+}
+
 // Guards against invalid settings that are accepted and fail later, and against
 // findings without the file, section or key.
 func TestParseReportsEachFault(t *testing.T) {
--- a/internal/daemon/document/follower.go
+++ b/internal/daemon/document/follower.go
@@ -1,6 +1,8 @@
 // Package document keeps a daemon up to date with a configuration that an operator
-// writes as a single object of the store. In each availability zone a few daemons, the
-// relays, watch the object. Daemons that the store does not serve get it from others.
+// writes as a single object of the store. Each daemon watches the object itself. A few
+// daemons in each availability zone, the relays, renew their watch often and so notice
+// first if watches have died. Daemons that the store does not serve get the object from
+// others.
 package document
 
 import (
@@ -22,21 +24,25 @@
 )
 
 const (
-	// watchWait is how long the store holds a relay's watch without changes. The relay
-	// abandons a watch that is not answered within a further watchMargin, because the
-	// store may never answer it after it dropped its history. Their sum stays below the
-	// 2 s within which a change must be in force.
-	watchWait   = time.Second
+	// shortWaitShare is the share of MaxDelay, in eighths, for which the store holds a
+	// watch that nobody else would replace: that of a relay, or of a daemon that no other
+	// daemon answers. Other watches are held for longWait.
+	shortWaitShare = 5
+	longWait       = 20 * time.Second
+	// watchMargin is how much longer than its wait a watch may take. The store may never
+	// answer a watch, for example after it dropped its history.
 	watchMargin = 400 * time.Millisecond
+	// doubtShare is the share of MaxDelay, in eighths, after which a watch that has not
+	// delivered a change that other daemons know of is abandoned.
+	doubtShare = 2
+	// doubtInterval is how often a daemon checks whether to abandon a long watch.
+	doubtInterval = 200 * time.Millisecond
+	// spreadShare is the share of MaxDelay, in eighths, over which daemons spread their
+	// next watches after a change: 3,500 daemons would otherwise call the store at once.
+	spreadShare = 1
 	// readTimeout bounds reads other than watches. The store usually answers within
 	// milliseconds.
 	readTimeout = time.Second
-	// pollInterval is the average time between reads of a daemon that is not a relay.
-	// These reads find changes when all relays of a zone fail together, and may be
-	// answered from a replica of the store.
-	pollInterval = 4 * time.Second
-	// relayPollInterval is how often a daemon checks whether it has become a relay.
-	relayPollInterval = 200 * time.Millisecond
 	// firstRetry and maxRetry are the bounds of the exponential backoff after failed
 	// reads of the store. A change made during an outage takes effect within maxRetry
 	// of the end of the outage.
@@ -54,6 +60,8 @@
 	// headKey is the key of the only entry of fleet.KindHead, which holds the newest
 	// version and the hash of its value.
 	headKey = "Current"
+	// originStore is the origin of values that the store delivered.
+	originStore = "store"
 )
 
 // Store reads and watches the objects of the platform's store.
@@ -88,8 +96,11 @@
 	// PeersOwnZoneFirst returns up to count other live daemons, chosen at random.
 	// Daemons of this daemon's availability zone come first.
 	PeersOwnZoneFirst(count int) []string
-	// IsRelay reports whether this daemon watches the store for its availability zone.
+	// IsRelay reports whether this daemon renews its watch often on behalf of its
+	// availability zone.
 	IsRelay() bool
+	// LastPeerContact returns when another daemon last answered, or the zero time.
+	LastPeerContact() time.Time
 	// SetStoreUnavailable tells the other daemons whether the store fails to answer this
 	// daemon.
 	SetStoreUnavailable(unavailable bool)
@@ -107,13 +118,15 @@
 
 // Dependencies are the components that a follower uses.
 type Dependencies struct {
-	Source  Source
-	Store   Store
-	Entries ReplicatedEntries
-	Peers   PeerCaller
-	Members Members
-	Random  *rand.Rand
-	Log     *slog.Logger
+	Source Source
+	// MaxDelay is the time within which a change in the store must be installed.
+	MaxDelay time.Duration
+	Store    Store
+	Entries  ReplicatedEntries
+	Peers    PeerCaller
+	Members  Members
+	Random   *rand.Rand
+	Log      *slog.Logger
 }
 
 // installedValue is an installed version with the value that it was decoded from.
@@ -137,6 +150,9 @@
 	// behindSince is when this daemon learned of a head newer than the installed version,
 	// nil while it knows of none.
 	behindSince atomic.Pointer[time.Time]
+	// missedSince is when this daemon first learned of a version that its present watch has
+	// not delivered, nil if there is none.
+	missedSince atomic.Pointer[time.Time]
 
 	// Subscribers are notified after each installation.
 	broadcast.Subscribers
@@ -189,66 +205,99 @@
 	return &peerpb.Part{Found: true, Value: current.value}
 }
 
-// watchLoop installs changes of the object in the store until ctx ends. Relays, and
-// daemons without a configuration, watch the object; all others read it periodically.
+// watchLoop installs changes of the object in the store until ctx ends. No daemon relies
+// on others for this: it may be cut off from them while the store serves it.
 func (f *Follower) watchLoop(ctx context.Context, random *rand.Rand) {
 	revision, failures := uint64(0), 0
 	for ctx.Err() == nil {
-		watches := f.Members.IsRelay() || f.Current() == nil
-		next, outcome := f.readStore(ctx, revision, watches)
-		f.recordOutcome(outcome)
+		before := f.installedVersion()
+		next, outcome, abandoned := f.readStore(ctx, revision)
+		if !abandoned {
+			f.recordOutcome(outcome)
+		}
 		switch {
-		case outcome == fleet.StoreCompacted:
+		case abandoned || outcome == fleet.StoreCompacted:
 			revision = 0
 		case outcome != fleet.StoreOK:
+			// After a failure the daemon reads the object, which takes less time than
+			// another watch that may not be answered.
+			revision = 0
 			sleep(ctx, retryDelay(failures, random))
 			failures++
 		default:
 			revision, failures = next, 0
-			if !watches {
-				f.awaitNextRead(ctx, random)
+			if before != 0 && f.installedVersion() != before {
+				sleep(ctx, time.Duration(random.Int64N(int64(f.delayShare(spreadShare)))))
 			}
 		}
 	}
 }
 
-// awaitNextRead waits for a random time of half to one and a half pollInterval. It
-// returns early if the daemon becomes a relay.
-func (f *Follower) awaitNextRead(ctx context.Context, random *rand.Rand) {
-	until := time.Now().Add(pollInterval/2 + time.Duration(random.Int64N(int64(pollInterval))))
-	for ctx.Err() == nil && time.Now().Before(until) && !f.Members.IsRelay() {
-		sleep(ctx, relayPollInterval)
-	}
-}
-
-// readStore installs the object's value from the store. If watches is true and revision
-// is not 0, it waits for changes after the revision and installs those instead of
-// reading the object. It returns the revision from which the next watch continues.
-func (f *Follower) readStore(ctx context.Context, revision uint64, watches bool) (uint64, fleet.StoreOutcome) {
-	wait := readTimeout
-	if revision != 0 && watches {
-		wait = watchWait + watchMargin
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	if revision == 0 || !watches {
-		// Only a relay's read must return the latest revision, because its watch
-		// continues from there.
-		page, outcome := f.Store.Page(ctx, f.Source.Kind, "", !watches)
+// readStore installs the object's value from the store. If revision is not 0, it waits for
+// changes after the revision and installs those instead of reading the object. It returns
+// the revision from which the next watch continues, and whether it abandoned the watch.
+func (f *Follower) readStore(ctx context.Context, revision uint64) (next uint64, outcome fleet.StoreOutcome, abandoned bool) {
+	if revision == 0 {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		page, outcome := f.Store.Page(ctx, f.Source.Kind, "", false)
 		for _, object := range page.Objects {
-			f.installObject(object, "store")
+			f.installObject(object, originStore)
 		}
 
-		return page.Revision, outcome
+		return page.Revision, outcome, false
+	}
+	f.missedSince.Store(nil)
+	wait := f.delayShare(shortWaitShare)
+	short := f.needsShortWait()
+	if !short {
+		wait = max(wait, longWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	var doubts sync.WaitGroup
+	doubted := false
+	if !short {
+		doubts.Go(func() {
+			doubted = f.awaitDoubt(ctx)
+			cancel()
+		})
 	}
-	events, outcome := f.Store.Events(ctx, f.Source.Kind, revision, watchWait)
+	events, outcome := f.Store.Events(ctx, f.Source.Kind, revision, wait)
+	cancel()
+	doubts.Wait()
 	for _, event := range events.Events {
 		if !event.Removed {
-			f.installObject(event.Object, "store")
+			f.installObject(event.Object, originStore)
+		}
+	}
+
+	return events.Revision, outcome, doubted && outcome != fleet.StoreOK
+}
+
+// needsShortWait reports whether no other daemon would make this one notice that its watch
+// has died.
+func (f *Follower) needsShortWait() bool {
+	return f.Members.IsRelay() || time.Since(f.Members.LastPeerContact()) > f.delayShare(shortWaitShare)
+}
+
+// awaitDoubt waits until there is reason to believe that the present long watch has died.
+// It returns false if ctx ends before.
+func (f *Follower) awaitDoubt(ctx context.Context) bool {
+	for {
+		sleep(ctx, doubtInterval)
+		if ctx.Err() != nil {
+			return false
+		}
+		if f.needsShortWait() || age(f.missedSince.Load()) > f.delayShare(doubtShare) {
+			return true
 		}
 	}
+}
 
-	return events.Revision, outcome
+// delayShare returns a share of MaxDelay in eighths.
+func (f *Follower) delayShare(eighths time.Duration) time.Duration {
+	return f.MaxDelay * eighths / 8
 }
 
 // recordOutcome records whether the store answered, and when. If the store became
@@ -355,6 +404,7 @@
 		}
 		now := time.Now()
 		f.behindSince.CompareAndSwap(nil, &now)
+		f.missedSince.CompareAndSwap(nil, &now)
 		// Usually the store delivers the version during this delay, so that it need not
 		// be fetched from peers.
 		sleep(ctx, peerRetryDelay)
--- a/internal/daemon/membership/contact.go
+++ b/internal/daemon/membership/contact.go
@@ -44,6 +44,10 @@
 	return m.contact
 }
 
+// LastPeerContact returns the time of the last completed exchange with any peer, or the
+// zero time.
+func (m *Membership) LastPeerContact() time.Time { return m.LastContact().AnyPeer }
+
 // recordContact records a completed exchange by the time at which it started. After
 // a gap of more than keys.FreshnessLimit it starts a catch-up instead: peers send no
 // rumors to a member that they regard as faulty, so the daemon may have missed changes
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -280,7 +280,7 @@
 
 	if d.onPlatform() {
 		d.loader, cleanUp = document.New(document.Dependencies{
-			Source: wire.ConfigurationSource(), Store: d.store, Entries: coalescedEntries{d}, Peers: d.network,
+			Source: wire.ConfigurationSource(), MaxDelay: cmp.Or(d.settings.Bounds.ConfigurationDelay, configurationDelay), Store: d.store, Entries: coalescedEntries{d}, Peers: d.network,
 			Members: d.membership, Random: newRandom(), Log: d.log,
 		})
 	} else {
@@ -345,6 +345,10 @@
 }
 
 const (
+	// configurationDelay is the time within which a change of the configuration must be in
+	// force if the settings have no Bounds.ConfigurationDelay. It is the target for fleets
+	// of 3,500 daemons.
+	configurationDelay = 17 * time.Second
 	// upstreamAnnounceTimeout is how long an upstream on the platform stays registered
 	// without an announcement. It is long because announcements can be delayed by
 	// seconds, and the egress notices at the next call that an upstream is gone.
