Answer a fetch with any newer version of the object

Cause: a daemon asks peers for the newest version it has heard of, by its hash, and a peer answers only if it has exactly that one. After an outage the store works off its changes every 100 ms; by the time the question arrives, the peer has the next version and says that it has nothing. The daemon stays behind until the changes pause. The class: a request for a state by its exact identity, where any later state would do.

Change: the question carries the installed version, and any newer one is the answer. A daemon of an older release ignores the field and compares the hash as before.

Ruled out: the exact hash protects nothing here. A version is decoded and checked where it arrives, and only a higher one is installed. The own interface asks for the hash only in the first of its rounds (configuration.catchUp) and is not affected.

Before: TestFetchOfReplacedVersion "got version 1, want at least 2, which was installed elsewhere 2s ago": not one of 21 versions arrived. After: it passes.

--- a/internal/daemon/document/follower.go
+++ b/internal/daemon/document/follower.go
@@ -193,12 +193,16 @@
 // are part of the configuration, so this is the last contact with the store.
 func (f *Follower) LastKeyRead() time.Time { return f.LastStoreContact() }
 
-// HandleFetchPart answers another daemon's request for the installed value. If the
-// request names a hash that is not the hash of the installed value, or no value is
-// installed, the answer is a part that is not found.
+// HandleFetchPart answers another daemon's request for the installed value. The answer is
+// a part that is not found if no value is installed, or neither its version is newer than
+// the sender's nor its hash the requested one.
 func (f *Follower) HandleFetchPart(request *peerpb.FetchPart) *peerpb.Part {
 	current := f.current.Load()
-	if current == nil || request.GetHash() != "" && request.GetHash() != current.hash {
+	if current == nil {
+		return &peerpb.Part{}
+	}
+	newer := request.GetNewerThan() > 0 && current.configuration.Version > request.GetNewerThan()
+	if !newer && request.GetHash() != "" && request.GetHash() != current.hash {
 		return &peerpb.Part{}
 	}
 
@@ -414,8 +418,9 @@
 	}
 }
 
-// fetchFromPeers requests the newest known version from up to peersPerFetch daemons,
-// or any version if none is installed. The next daemon is asked if the one before did
+// fetchFromPeers requests a version newer than the installed one from up to peersPerFetch
+// daemons, or any version if none is installed. Not only the newest known version is
+// accepted, because the others may already have replaced it. The next daemon is asked if the one before did
 // not deliver a newer version within nextPeerDelay.
 func (f *Follower) fetchFromPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -425,7 +430,7 @@
 	if f.Current() != nil {
 		hash = f.newestHead().GetManifestHash()
 	}
-	request := &peerpb.Frame{Body: &peerpb.Frame_FetchPart{FetchPart: &peerpb.FetchPart{Hash: hash}}}
+	request := &peerpb.Frame{Body: &peerpb.Frame_FetchPart{FetchPart: &peerpb.FetchPart{Hash: hash, NewerThan: before}}}
 	var calls sync.WaitGroup
 	var asked, absent atomic.Int64
 	for _, daemon := range f.Members.PeersOwnZoneFirst(peersPerFetch) {
--- a/internal/daemon/document/follower_test.go
+++ b/internal/daemon/document/follower_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -123,7 +125,11 @@
 	headChanged      chan struct{}
 	// value is the value that the daemons have installed.
 	value string
-	calls int
+	// source, if set, answers requests for values in place of value, after callDelay each
+	// way.
+	source    *Follower
+	callDelay time.Duration
+	calls     int
 }
 
 func (p *fakePeers) Publish(entry fleet.Entry) {
@@ -176,7 +182,14 @@
 	p.storeUnavailable = unavailable
 }
 
-func (p *fakePeers) Call(ctx context.Context, daemon string, _ *peerpb.Frame) (*peerpb.Frame, bool) {
+func (p *fakePeers) Call(ctx context.Context, daemon string, frame *peerpb.Frame) (*peerpb.Frame, bool) {
+	if p.source != nil {
+		time.Sleep(p.callDelay)
+		part := p.source.HandleFetchPart(frame.GetFetchPart())
+		time.Sleep(p.callDelay)
+
+		return &peerpb.Frame{Body: &peerpb.Frame_Part{Part: part}}, true
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
@@ -195,9 +208,20 @@
 func (p *fakePeers) publish(version uint64) {
 	p.mu.Lock()
 	p.value = strconv.FormatUint(version, 10)
-	p.heads = append(p.heads, headEntry(version, "hash"))
 	p.mu.Unlock()
-	p.headChanged <- struct{}{}
+	p.announce(version)
+}
+
+// announce publishes the head of a version.
+func (p *fakePeers) announce(version uint64) {
+	sum := sha256.Sum256([]byte(strconv.FormatUint(version, 10)))
+	p.mu.Lock()
+	p.heads = append(p.heads, headEntry(version, hex.EncodeToString(sum[:])))
+	p.mu.Unlock()
+	select {
+	case p.headChanged <- struct{}{}:
+	default:
+	}
 }
 
 // startFollower starts a follower and returns it with its log and a function that
@@ -305,6 +329,31 @@
 	})
 }
 
+// Guards against a daemon that falls behind while versions follow each other faster than
+// they spread: when it asks for a version, the others have installed the next one.
+func TestFetchOfReplacedVersion(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const interval, announceDelay, callDelay = 100 * time.Millisecond, 150 * time.Millisecond, 30 * time.Millisecond
+		served, source := newStore("1"), &fakePeers{headChanged: make(chan struct{}, 1)}
+		ahead, _, stop := startFollower(served, source)
+		defer stop()
+		away, peers := newStore("1"), &fakePeers{headChanged: make(chan struct{}, 1), source: ahead, callDelay: callDelay}
+		f, _, stop := startFollower(away, peers)
+		defer stop()
+		time.Sleep(time.Second)
+		away.update(func() { away.outcome = fleet.StoreUnavailable })
+		for version := uint64(2); version < 100; version++ {
+			served.update(func() { served.value = strconv.FormatUint(version, 10) })
+			time.AfterFunc(announceDelay, func() { peers.announce(version) })
+			time.Sleep(interval)
+			if due := version - min(version, uint64(installLimit/interval)); f.installedVersion() < due {
+				t.Fatalf("got version %d, want at least %d, which was installed elsewhere %v ago", f.installedVersion(), due, installLimit)
+			}
+		}
+	})
+}
+
 // Guards against a reverted version, against an undecodable value that replaces a valid
 // one or is logged repeatedly, and against a daemon that does not serve its installed
 // value, so that others wait for the store.
