Ask a daemon of another zone too when fetching a version

Cause: a fetch asks three daemons, those of the own zone first. With 18 daemons in a zone all three are always of it, so a zone in which nobody has the version cannot get it from the daemons that announced it. That is so when the store turns the zone's readers away, or when both of its relays are cut off. The class: a search that never leaves the part that failed.

Change: the last of the daemons asked is of another zone. It is asked only after two of the own zone did not deliver, so a version that the zone has crosses no zone.

After: it passes.

--- a/internal/core/gossip/gossip_test.go
+++ b/internal/core/gossip/gossip_test.go
@@ -291,6 +291,20 @@
 	}
 }
 
+// TestPeersOwnZoneFirst guards against a member that asks only members of its own
+// availability zone for what none of them has.
+func TestPeersOwnZoneFirst(t *testing.T) {
+	f := bench.NewFleet(30, 3, 0, 1)
+	f.WithNode(0, func(node *gossip.Node) {
+		for range 100 {
+			peers := node.PeersOwnZoneFirst(3)
+			if len(peers) != 3 || node.Zone(peers[0]) != "zone-00" || node.Zone(peers[1]) != "zone-00" || node.Zone(peers[2]) == "zone-00" {
+				t.Fatalf("got %v, want two members of the own zone and then one of another", peers)
+			}
+		}
+	})
+}
+
 // TestPeers guards against rumors that are sent to fewer peers than available, and
 // against availability zones that are never chosen.
 func TestPeers(t *testing.T) {
--- a/internal/core/gossip/peers.go
+++ b/internal/core/gossip/peers.go
@@ -117,19 +117,25 @@
 }
 
 // PeersOwnZoneFirst returns up to count members that are not faulty, in random order
-// but with the members of the node's own availability zone before the others.
+// but with the members of the node's own availability zone before the others. If count is
+// above 1, the last one is of another zone: what none of the own zone has may be there.
 func (n *Node) PeersOwnZoneFirst(count int) []string {
 	n.updateRings()
-	var peers []string
-	for _, names := range [][]string{n.ownZone.names, n.otherZones.names} {
-		for _, i := range n.random.Perm(len(names)) {
-			if len(peers) < count {
-				peers = append(peers, names[i])
-			}
-		}
+	own, other := n.shuffled(n.ownZone.names), n.shuffled(n.otherZones.names)
+	if len(other) > 0 && count > 1 {
+		own = own[:min(len(own), count-1)]
 	}
+	peers := slices.Concat(own, other)
 
-	return peers
+	return peers[:min(len(peers), count)]
+}
+
+// shuffled returns a copy of names in random order.
+func (n *Node) shuffled(names []string) []string {
+	names = slices.Clone(names)
+	n.shuffle(names)
+
+	return names
 }
 
 // IndirectProbers returns up to MaxIndirectProbers members to ask for an indirect
--- a/internal/daemon/document/follower.go
+++ b/internal/daemon/document/follower.go
@@ -94,7 +94,8 @@
 // Members lists live daemons and assigns the role of relay.
 type Members interface {
 	// PeersOwnZoneFirst returns up to count other live daemons, chosen at random.
-	// Daemons of this daemon's availability zone come first.
+	// Daemons of this daemon's availability zone come first, and at least one of another
+	// zone last.
 	PeersOwnZoneFirst(count int) []string
 	// IsRelay reports whether this daemon renews its watch often on behalf of its
 	// availability zone.
--- a/internal/daemon/membership/membership.go
+++ b/internal/daemon/membership/membership.go
@@ -275,7 +275,8 @@
 }
 
 // PeersOwnZoneFirst returns up to count other members that are not faulty, in random
-// order but with the members of the daemon's own availability zone before the others.
+// order but with the members of the daemon's own availability zone before the others, of
+// which there is at least one if count is above 1.
 func (m *Membership) PeersOwnZoneFirst(count int) (names []string) {
 	m.replica.WithNode(func(node *gossip.Node, _ time.Time) { names = node.PeersOwnZoneFirst(count) })
 
