Read team files from the store when no peer answers

It read the store itself only for a version that a peer had announced.

Change: a running daemon that no peer has answered for 6 s reads the manifest's head from the store in each round, at most 5 s apart. That is no read at all while peers answer, and 700 a second of the store's 2,000 if all 3,500 daemons lose one another at once.

Looked at for the same cause and left alone: withdrawn keys (a daemon without contact to a peer in another zone or to the store refuses keyed requests after 2 s), limits (part of the configuration), drains (an upstream is reached only through the daemon that it told), owners (what they lend runs out by itself), seeds (read from the store).

Before: TestConfigurationReachesEveryDaemon, "no peer answers, and no head arrives: got version 1 on c, want 2" after 17 s. After: it passes. internal/daemon/server passes.

--- a/internal/bench/capacity/store.go
+++ b/internal/bench/capacity/store.go
@@ -164,8 +164,12 @@
 // fixedRole implements configuration.Membership. It is true for relays.
 type fixedRole bool
 
+// IsRelay implements configuration.Membership.
 func (r fixedRole) IsRelay() bool { return bool(r) }
 
+// LastPeerContact implements configuration.Membership. Some peer answers all the time.
+func (fixedRole) LastPeerContact() time.Time { return time.Now() }
+
 // Publish implements configuration.ReplicatedEntries.
 func (f *loaderFleet) Publish(e fleet.Entry) {
 	f.mu.Lock()
--- a/internal/daemon/configuration/fleet_test.go
+++ b/internal/daemon/configuration/fleet_test.go
@@ -51,11 +51,13 @@
 	paused        bool // answers reach it only after it has resumed
 	failPartReads int  // how many of the next reads of parts fail
 	failPuts      int  // how many of the next writes fail
-	entries       map[string]fleet.Entry
-	subscribers   map[chan struct{}]fleet.EntryKind
-	versions      []uint64 // installed, in order
-	loader        *Loader
-	stop          func()
+	// peerContact is when another daemon was last disconnected.
+	peerContact time.Time
+	entries     map[string]fleet.Entry
+	subscribers map[chan struct{}]fleet.EntryKind
+	versions    []uint64 // installed, in order
+	loader      *Loader
+	stop        func()
 }
 
 // testFleet is a set of loaders that share a stand-in store.
@@ -159,6 +161,13 @@
 }
 
 func (d *daemon) setDisconnected(cut bool) {
+	d.fleet.mu.Lock()
+	for _, other := range d.fleet.daemons {
+		other.mu.Lock()
+		other.peerContact = time.Now()
+		other.mu.Unlock()
+	}
+	d.fleet.mu.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.disconnected = cut
@@ -175,6 +184,22 @@
 
 func (d *daemon) IsRelay() bool { return d.relay }
 
+// LastPeerContact returns the present time if another daemon can answer, or else when the
+// last one was disconnected.
+func (d *daemon) LastPeerContact() time.Time {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	for _, other := range d.fleet.daemons {
+		if other != d && !other.isDisconnected() && !d.isDisconnected() {
+			return time.Now()
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.peerContact
+}
+
 func (d *daemon) allEntries() []fleet.Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/daemon/configuration/loader.go
+++ b/internal/daemon/configuration/loader.go
@@ -36,6 +36,9 @@
 	peerRoundsBeforeStore = 4
 	// callTimeout bounds one request to a peer.
 	callTimeout = 2 * time.Second
+	// unreachablePeers is the time without an answer of any peer after which a daemon reads
+	// the store itself, every maxRetry. Both together leave six of the target's 17 s.
+	unreachablePeers = 6 * time.Second
 	// headKey is the key of the only entry of fleet.KindHead, which holds the newest
 	// version and the hash of its manifest's head.
 	headKey = "Current"
@@ -65,6 +68,8 @@
 	// IsRelay reports whether this daemon is a relay, which watches the store for its
 	// availability zone.
 	IsRelay() bool
+	// LastPeerContact returns when another daemon last answered, or the zero time.
+	LastPeerContact() time.Time
 }
 
 // Dependencies are the components that a loader uses.
@@ -170,6 +175,9 @@
 		if unreadManifest != nil && l.load(ctx, publication.NewStoreSource(l.store, unreadManifest)) {
 			unreadManifest = nil
 		}
+		if l.Current() != nil && !l.Membership.IsRelay() && time.Since(l.Membership.LastPeerContact()) > unreachablePeers {
+			l.load(ctx, publication.NewStoreSource(l.store, nil))
+		}
 		if l.catchUp(ctx, round, random) && unreadManifest == nil {
 			round = 0
 			retry.Reset(maxRetry)
--- a/internal/daemon/configuration/loader_test.go
+++ b/internal/daemon/configuration/loader_test.go
@@ -145,6 +145,14 @@
 			f.runFor(propagationLimit - 2*callTimeout)
 			f.expectVersion(t, "from the store", 2, "c")
 		},
+		"no peer answers, and no head arrives": func(t *testing.T, f *testFleet) {
+			for _, name := range []string{"a", "b", "d"} {
+				f.daemons[name].setDisconnected(true)
+			}
+			f.publish(t, 2)
+			f.runFor(propagationLimit)
+			f.expectVersion(t, "from the store", 2, "c")
+		},
 		"a head whose manifest does not exist": func(t *testing.T, f *testFleet) {
 			f.daemons["c"].merge(fleet.Entry{Kind: fleet.KindHead, Key: headKey, Version: 9, Value: marshalValue(&peerpb.Head{Version: 9, ManifestHash: "x"})})
 			f.runFor(propagationLimit)
--- a/internal/daemon/server/follow.go
+++ b/internal/daemon/server/follow.go
@@ -154,6 +154,9 @@
 // for their availability zone and pass changes on to the others.
 func (d *Daemon) IsRelay() bool { return d.membership.IsRelay() }
 
+// LastPeerContact returns when another daemon last answered, or the zero time.
+func (d *Daemon) LastPeerContact() time.Time { return d.membership.LastPeerContact() }
+
 // coalescedEntries adapts the membership's subscriptions, which deliver entries, to
 // subscriptions that deliver one value after any number of changes.
 type coalescedEntries struct {
