Read and log the limit that an upstream names, and that it leaves

The protocol of upstreams now returns both from an answer's head, on the platform and in the fleet's own interface (Kumquatshelf-Limit, Kumquatshelf-Leaving). A limit that cannot be read neither sets nor lifts one. No decision changes.

--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -143,7 +143,10 @@
 		result := protocol.Classify(response.StatusCode, response.Header, attempt)
 		switch result {
 		case fleet.CallAnswered:
-			return x.newAnswer(response), result
+			answer := x.newAnswer(response)
+			answer.Signals = protocol.Signals(response.Header)
+
+			return answer, result
 		case fleet.CallForeign:
 			// The answer belongs to an earlier request. The answer to this request
 			// may follow.
@@ -160,7 +163,9 @@
 			}
 			removeHopByHop(response.Header)
 
-			return fleet.Answer{Status: response.StatusCode, Header: response.Header}, result
+			return fleet.Answer{
+				Status: response.StatusCode, Header: response.Header, Signals: protocol.Signals(response.Header),
+			}, result
 		default:
 			x.closeConn()
 
--- a/internal/adapter/upstream/protocol.go
+++ b/internal/adapter/upstream/protocol.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +18,8 @@
 	// Classify returns the result of a call from the head of its answer: CallAnswered,
 	// CallShed, CallMisdirected, CallForeign or CallFailed.
 	Classify(status int, header http.Header, attempt fleet.Attempt) fleet.CallResult
+	// Signals returns what the upstream says about itself in the head of an answer.
+	Signals(header http.Header) fleet.UpstreamSignals
 }
 
 // Headers of OwnProtocol.
@@ -27,6 +30,13 @@
 	// HeaderShed, with the value true, marks an answer with status 503 of an upstream
 	// that did not run the request.
 	HeaderShed = "Kumquatshelf-Shed"
+	// HeaderLimit is an answer header with the number of requests a second, with
+	// fractions, that the upstream takes from all daemons together while its answers name
+	// it.
+	HeaderLimit = "Kumquatshelf-Limit"
+	// HeaderLeaving, with the value true, marks the answers of an upstream that is about
+	// to stop and takes no new requests.
+	HeaderLeaving = "Kumquatshelf-Leaving"
 )
 
 // OwnProtocol is the protocol of upstreams that use Kumquatshelf's headers rather than
@@ -51,3 +61,25 @@
 
 	return fleet.CallAnswered
 }
+
+// Signals reads HeaderLimit and HeaderLeaving.
+func (OwnProtocol) Signals(header http.Header) fleet.UpstreamSignals {
+	signals := ParseLimit(header.Get(HeaderLimit))
+	signals.Leaving = strings.EqualFold(header.Get(HeaderLeaving), "true")
+
+	return signals
+}
+
+// ParseLimit returns the signals of an upstream that names the limit in text, a number of
+// requests a second with fractions. An empty text names none.
+func ParseLimit(text string) fleet.UpstreamSignals {
+	if text == "" {
+		return fleet.UpstreamSignals{}
+	}
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsInf(limit, 0) {
+		limit = math.NaN()
+	}
+
+	return fleet.UpstreamSignals{HasLimit: true, Limit: limit}
+}
--- a/internal/core/fleet/attempt.go
+++ b/internal/core/fleet/attempt.go
@@ -167,6 +167,9 @@
 	// io.ErrUnexpectedEOF if the upstream's answer was cut short.
 	Body    io.ReadCloser
 	Trailer func() http.Header
+	// Signals are what the upstream says about itself. They are known only to the egress
+	// that called it.
+	Signals UpstreamSignals
 }
 
 // Reply is the result of an attempt, or of a caller's whole request.
--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -74,6 +74,18 @@
 	Sequence uint64
 }
 
+// UpstreamSignals are what an upstream says about itself in an answer.
+type UpstreamSignals struct {
+	// HasLimit says that the answer names a limit.
+	HasLimit bool
+	// Limit is the number of requests a second that the upstream takes from all daemons
+	// together, for as long as its answers name one. It is NaN or negative if the answer
+	// names no usable number.
+	Limit float64
+	// Leaving says that the upstream is about to stop and takes no new requests.
+	Leaving bool
+}
+
 // Load is the egress's view of an upstream. Every answer carries it to the ingress.
 type Load struct {
 	// InFlight is the number of running attempts.
--- a/internal/daemon/egress/egress.go
+++ b/internal/daemon/egress/egress.go
@@ -103,6 +103,13 @@
 	// slowness estimates whether the upstream is slower than the service's other
 	// upstreams.
 	slowness *suspicion.Filter
+	// limited says that the last answer named a limit, in requests a second, and
+	// limitNamedAt when that was.
+	limited      bool
+	limit        float64
+	limitNamedAt time.Time
+	// leaving says that an answer of the present incarnation said that it leaves.
+	leaving bool
 	// lastSlowEnd is when the last attempt ended that counted as slow.
 	lastSlowEnd time.Time
 	// lastTrialAt is when a request last failed or a trial was admitted, or the zero time
--- a/internal/daemon/egress/membership.go
+++ b/internal/daemon/egress/membership.go
@@ -33,7 +33,7 @@
 	}
 	old.Sequence = upstream.Sequence
 	changed := !u.announced || old != upstream
-	e.resetSuspicion(u, upstream, now)
+	e.resetEstimates(u, upstream, now)
 	u.announcement, u.announced, u.announcedAt = upstream, true, now
 	if e.effectiveState(u) == fleet.Draining {
 		e.drainQueue(u, fleet.ReasonDraining, "the upstream is draining")
@@ -47,11 +47,12 @@
 	return fleet.Announced
 }
 
-// resetSuspicion starts new estimates of whether an upstream fails or is slow, if its
-// announcement is the first one of an incarnation.
-func (e *Egress) resetSuspicion(u *localUpstream, upstream fleet.Upstream, now time.Time) {
+// resetEstimates forgets what was observed of an upstream, if its announcement is the first
+// one of an incarnation.
+func (e *Egress) resetEstimates(u *localUpstream, upstream fleet.Upstream, now time.Time) {
 	if u.suspicion == nil || u.announcement.Incarnation != upstream.Incarnation {
 		u.suspicion, u.slowness = suspicion.New(now), suspicion.New(now)
+		u.limited, u.limit, u.leaving = false, 0, false
 	}
 }
 
--- a/internal/daemon/egress/run.go
+++ b/internal/daemon/egress/run.go
@@ -284,6 +284,13 @@
 	s := e.newStartedAttempt(ctx, admitted)
 	answer, result := e.client.Call(s.ctx, s.upstream, admitted.attempt)
 	s.serviceTime = time.Since(s.startedAt)
+	if result == fleet.CallAnswered || result == fleet.CallShed {
+		e.mu.Lock()
+		if admitted.upstream.announcement.Incarnation == s.upstream.Incarnation {
+			e.observeSignals(admitted.upstream, answer.Signals, s.startedAt, time.Now())
+		}
+		e.mu.Unlock()
+	}
 	if result == fleet.CallAnswered {
 		e.serveTimes.Add(s.serviceTime)
 
