Refuse for now, not for good, while the configuration may be out of date

The daemons had heard neither from the store nor from a peer for 4 to 8 s: their machines had been slowed eight times until 21 s, and they caught up at 24 to 27 s.

Cause: a daemon that stood still or starved answers with what it knew before, and says 404 or 401, which tell a caller never to come back. It knows better: it has heard from nobody for longer than a change may take. The class: a decision on a state whose age is not checked at the moment of the decision, as with keys (which have a freshness check).

Change: while no peer has answered an exchange that began within ConfigurationDelay, nor the store a call that began within one and a half times that, unknown routes and keys are refused as NotReady (503, not run) with Retry-After 0.5 s. Requests on known routes are served as before. Both times are those at which an exchange began, so an answer that waited while the process stood still does not count.

Ruled out: refusing all requests of such a daemon, which would turn a slow daemon into one that serves nobody. Open: why the processes starve for up to 5 s after the slow-down ends.

Before (with the condition taken out): TestRefusalsOfOutdatedDaemon fails for the unknown route and the unknown key. After: it passes.

--- a/internal/bench/overload/fleet.go
+++ b/internal/bench/overload/fleet.go
@@ -339,6 +339,9 @@
 // Contact implements ingress.ContactSource.
 func (unlimited) Contact() keys.Contact { return keys.Contact{Store: time.Now()} }
 
+// ConfigurationIsCurrent implements ingress.ContactSource.
+func (unlimited) ConfigurationIsCurrent() bool { return true }
+
 // discardEvidence drops observations of upstreams.
 type discardEvidence struct{}
 
--- a/internal/daemon/configuration/loader.go
+++ b/internal/daemon/configuration/loader.go
@@ -130,6 +130,9 @@
 	return l.store.lastContact()
 }
 
+// LastConfigurationRead returns when the store last answered, or the zero time.
+func (l *Loader) LastConfigurationRead() time.Time { return l.store.lastContact() }
+
 // LastKeyRead returns the start time of the last watch of the keys that the store
 // answered, or the zero time. Other answers of the store do not prove that the keys are
 // up to date. The start counts instead of the receipt, because the answer may have
--- a/internal/daemon/document/follower.go
+++ b/internal/daemon/document/follower.go
@@ -146,6 +146,9 @@
 	current atomic.Pointer[installedValue]
 	// storeContact is when the store last answered, nil before its first answer.
 	storeContact atomic.Pointer[time.Time]
+	// readFrom is when the last call began that the store has answered, nil before its
+	// first answer.
+	readFrom atomic.Pointer[time.Time]
 	// storeUnavailable says that the store did not answer the last read.
 	storeUnavailable atomic.Bool
 	// behindSince is when this daemon learned of a head newer than the installed version,
@@ -190,6 +193,16 @@
 	return time.Time{}
 }
 
+// LastConfigurationRead returns when the last call began that the store has answered, or
+// the zero time.
+func (f *Follower) LastConfigurationRead() time.Time {
+	if at := f.readFrom.Load(); at != nil {
+		return *at
+	}
+
+	return time.Time{}
+}
+
 // LastKeyRead returns when keys were last read from the store, or the zero time. Keys
 // are part of the configuration, so this is the last contact with the store.
 func (f *Follower) LastKeyRead() time.Time { return f.LastStoreContact() }
@@ -215,7 +228,7 @@
 func (f *Follower) watchLoop(ctx context.Context, random *rand.Rand) {
 	revision, failures := uint64(0), 0
 	for ctx.Err() == nil {
-		before := f.installedVersion()
+		before, began := f.installedVersion(), time.Now()
 		next, outcome, abandoned := f.readStore(ctx, revision)
 		if !abandoned {
 			f.recordOutcome(outcome)
@@ -231,6 +244,7 @@
 			failures++
 		default:
 			revision, failures = next, 0
+			f.readFrom.Store(&began)
 			if before != 0 && f.installedVersion() != before {
 				sleep(ctx, time.Duration(random.Int64N(int64(f.delayShare(spreadShare)))))
 			}
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -51,10 +51,14 @@
 	Candidates(service string) []balance.Candidate
 }
 
-// ContactSource returns when the daemon last exchanged key changes with the store and with
-// other daemons.
+// ContactSource says how recently the daemon has heard from the store and from other
+// daemons.
 type ContactSource interface {
+	// Contact returns when the daemon last exchanged key changes.
 	Contact() keys.Contact
+	// ConfigurationIsCurrent reports whether the daemon would have heard of a newer
+	// configuration that must be in force by now.
+	ConfigurationIsCurrent() bool
 }
 
 // NestedCalls connects the calls that the local upstream makes through this ingress
@@ -238,7 +242,7 @@
 
 	route, result := current.table.Match(request.Request.Method, request.Request.Host, request.Request.Target)
 	if result != routing.Matched {
-		return in.recordRefusal(request, "", routeRefusal(result))
+		return in.recordRefusal(request, "", in.reviseRefusal(routeRefusal(result)))
 	}
 
 	j, refusal := in.admit(ctx, current.configuration, route, &request)
@@ -266,7 +270,7 @@
 
 		account, refusal = in.authenticate(request.Key, configuration)
 		if refusal.Reason != fleet.ReasonNone {
-			return job{}, refusal
+			return job{}, in.reviseRefusal(refusal)
 		}
 	}
 
@@ -290,6 +294,22 @@
 	return j, fleet.Reply{}
 }
 
+// outdatedRetryAfter is when a caller is told to come back if the configuration may be out
+// of date. Other daemons are in contact about once in this time.
+const outdatedRetryAfter = 500 * time.Millisecond
+
+// reviseRefusal replaces a refusal that a newer configuration could contradict, if the
+// daemon may have missed one: a caller does not come back after an unknown route or key.
+func (in *Ingress) reviseRefusal(refusal fleet.Reply) fleet.Reply {
+	if refusal.Reason != fleet.ReasonNoRoute && refusal.Reason != fleet.ReasonBadKey || in.ContactSource.ConfigurationIsCurrent() {
+		return refusal
+	}
+	refusal = fleet.Refuse(fleet.ReasonNotReady, "the configuration may be out of date")
+	refusal.RetryAfter = outdatedRetryAfter
+
+	return refusal
+}
+
 // replyFailed reports whether a request has no answer, or an answer with a 5xx status.
 func replyFailed(reply fleet.Reply) bool {
 	return reply.Outcome != fleet.Ran || reply.Answer.Status >= http.StatusInternalServerError
--- a/internal/daemon/ingress/ingress_test.go
+++ b/internal/daemon/ingress/ingress_test.go
@@ -35,7 +35,9 @@
 	tokenResult  fleet.TokenResult
 	demand       fleet.TokenDemand
 	contact      keys.Contact
-	candidates   []balance.Candidate
+	// outdated says that the configuration may be out of date.
+	outdated   bool
+	candidates []balance.Candidate
 }
 
 func (deps *fakeDependencies) Run(ctx context.Context, _ string, attempt fleet.Attempt) fleet.Reply {
@@ -59,6 +61,8 @@
 
 func (deps *fakeDependencies) Contact() keys.Contact { return deps.contact }
 
+func (deps *fakeDependencies) ConfigurationIsCurrent() bool { return !deps.outdated }
+
 func (deps *fakeDependencies) Candidates(string) []balance.Candidate { return deps.candidates }
 
 // answer replies with the given status and body.
@@ -194,6 +198,42 @@
 	}
 }
 
+// TestRefusalsOfOutdatedDaemon guards against a final refusal, for an unknown route or key,
+// by a daemon that may have missed the configuration that has them.
+func TestRefusalsOfOutdatedDaemon(t *testing.T) {
+	t.Parallel()
+
+	for name, tt := range map[string]struct {
+		path, key string
+		outdated  bool
+		want      fleet.Reason
+	}{
+		"unknown route":               {"/new", testKey, false, fleet.ReasonNoRoute},
+		"unknown key":                 {"/read", "ks_new", false, fleet.ReasonBadKey},
+		"unknown route, outdated":     {"/new", testKey, true, fleet.ReasonNotReady},
+		"unknown key, outdated":       {"/read", "ks_new", true, fleet.ReasonNotReady},
+		"no key, outdated":            {"/read", "", true, fleet.ReasonNoKey},
+		"known route, outdated":       {"/read", testKey, true, ""},
+		"path out of range, outdated": {"/read/../x", testKey, true, fleet.ReasonBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				deps := &fakeDependencies{
+					replies:  []func(context.Context, fleet.Attempt) fleet.Reply{answer(http.StatusOK, "whole")},
+					outdated: tt.outdated,
+				}
+				in := newPlatformIngress(t, deps, &fakeBudget{})
+				got := in.Forward(t.Context(), request("GET", tt.path, tt.key))
+				if got.Reason != tt.want || tt.want == fleet.ReasonNotReady && (got.Outcome != fleet.NotRun || got.RetryAfter == 0) {
+					t.Errorf("got %+v, want reason %q", got, tt.want)
+				}
+				closeBody(got)
+			})
+		})
+	}
+}
+
 // TestRefusedBeforeRunning guards against requests that run without a key, with an
 // invalid key or without a token, and against a key that is sent to an egress.
 func TestRefusedBeforeRunning(t *testing.T) {
--- a/internal/daemon/server/follow.go
+++ b/internal/daemon/server/follow.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -150,6 +151,22 @@
 	}
 }
 
+// configurationDelay returns the time within which a change of the configuration must be in
+// force.
+func (d *Daemon) configurationDelay() time.Duration {
+	return cmp.Or(d.settings.Bounds.ConfigurationDelay, configurationDelay)
+}
+
+// ConfigurationIsCurrent reports whether the daemon would have heard of a newer
+// configuration that must be in force by now. Both times are those at which an exchange
+// began, so an answer that waited while the daemon stood still does not count as recent.
+// A call of the store may be a watch, which the store holds for a part of the delay.
+func (d *Daemon) ConfigurationIsCurrent() bool {
+	delay := d.configurationDelay()
+
+	return time.Since(d.membership.LastPeerContact()) <= delay || time.Since(d.loader.LastConfigurationRead()) <= delay+delay/2
+}
+
 // IsRelay reports whether this daemon is a relay: one of those that watch the store
 // for their availability zone and pass changes on to the others.
 func (d *Daemon) IsRelay() bool { return d.membership.IsRelay() }
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -72,6 +72,9 @@
 	HandleFetchPart(request *peerpb.FetchPart) *peerpb.Part
 	// LastStoreContact returns when the store last answered, or the zero time.
 	LastStoreContact() time.Time
+	// LastConfigurationRead returns the time as of which the configuration was last read
+	// from the store, or the zero time.
+	LastConfigurationRead() time.Time
 	// LastKeyRead returns the time as of which keys were last read from the store, or the
 	// zero time.
 	LastKeyRead() time.Time
@@ -280,7 +283,7 @@
 
 	if d.onPlatform() {
 		d.loader, cleanUp = document.New(document.Dependencies{
-			Source: wire.ConfigurationSource(), MaxDelay: cmp.Or(d.settings.Bounds.ConfigurationDelay, configurationDelay), Store: d.store, Entries: coalescedEntries{d}, Peers: d.network,
+			Source: wire.ConfigurationSource(), MaxDelay: d.configurationDelay(), Store: d.store, Entries: coalescedEntries{d}, Peers: d.network,
 			Members: d.membership, Random: newRandom(), Log: d.log,
 		})
 	} else {
