Space the requests to an upstream by the limit that it names

Cause: what an upstream says about how many requests it takes was not read at all; only its slots and failures bounded what it got. The class: a limit on the side of the one that serves, which nobody who sends knows.

Change: the egress, which is the only path to its upstream, keeps a token bucket for it (core/pace) from the first answer that names a limit. An attempt that may wait is queued until the bucket allows it, in the order of the queue; one that may not is refused as Busy, and one that the limit delays beyond its deadline is refused at once. The expected wait that goes with each answer includes the limit, and an ingress asks such an upstream last until then. The limit ends with an answer without it to an attempt that started after the last answer that named it. Limits below 0.25 a second get a request every 4 s, since only an answer can end them. At most a second's worth of requests is made up for.

Ways weighed: buckets at each ingress, shared through the granter as client accounts' are. Not needed: a limit is one upstream's, and all its requests pass one daemon. Cost: 40 bytes for an upstream that names a limit; no message.

--- a/internal/core/balance/place.go
+++ b/internal/core/balance/place.go
@@ -97,6 +97,12 @@
 	return now.Sub(s.loadAt) <= suspicionLifetime && s.load.Suspect
 }
 
+// limited reports whether the limit that the upstream names probably allows no request yet.
+// The last reported load then had a wait although slots were free.
+func (s *upstreamStats) limited(now time.Time) bool {
+	return s.load.InFlight+s.load.Queued < s.load.Slots && now.Before(s.loadAt.Add(s.load.ExpectedWait))
+}
+
 // pickUnasked returns the index of the best candidate that has not refused the request.
 // It reports false if there is none or after maxRefusals refusals.
 func (t *Tracker) pickUnasked(
@@ -198,7 +204,7 @@
 // tierOf returns the tier of a candidate for this attempt.
 func (t *Tracker) tierOf(c *Candidate, request Request, now time.Time, random *rand.Rand) tier {
 	s := t.stats(c.Upstream)
-	likelyRefuses := s.queueDepth(now) >= c.Slots || s.suspect(now)
+	likelyRefuses := s.queueDepth(now) >= c.Slots || s.limited(now) || s.suspect(now)
 
 	return tier{class: t.classify(c, request, now, random), likelyRefuses: likelyRefuses, otherZone: !c.SameZone}
 }
--- a/internal/core/balance/place_test.go
+++ b/internal/core/balance/place_test.go
@@ -66,6 +66,17 @@
 			map[string]bool{"u0": true, "u1": true},
 			true,
 		},
+		{
+			"upstreams whose limit allows no request yet last", func(tracker *Tracker, _ []Candidate) {
+				for _, name := range []string{"u0", "u1"} {
+					tracker.Finished(name, fleet.Load{Slots: 3, ExpectedWait: time.Second}, 0, now.Add(-time.Second/2))
+				}
+				tracker.Finished("u2", fleet.Load{Slots: 3, ExpectedWait: time.Second}, 0, now.Add(-time.Second))
+			},
+			Request{},
+			map[string]bool{"u2": true, "u3": true},
+			true,
+		},
 		{
 			"upstreams without a free slot last", func(tracker *Tracker, _ []Candidate) {
 				for _, name := range []string{"u0", "u1"} {
--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -98,7 +98,8 @@
 	Suspicion float64
 	// Suspect says that the upstream is avoided because of Suspicion.
 	Suspect bool
-	// ExpectedWait is the expected wait for a slot.
+	// ExpectedWait is the expected wait for a slot, or until the limit that the upstream
+	// names allows the request.
 	ExpectedWait time.Duration
 	// ServiceTime is the usual time from the start of a request to its answer, or 0 if it
 	// is not known.
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -122,6 +122,12 @@
 	return q.expectedWait(clampRanges(item), slots, free)
 }
 
+// EstimateAhead estimates how many waiting items would start before an item that arrives
+// now.
+func (q *Queue) EstimateAhead(item Item) float64 {
+	return q.ahead(clampRanges(item))
+}
+
 // clampRanges returns the item with its weight and level clamped to their ranges.
 func clampRanges(item Item) Item {
 	item.Weight = max(item.Weight, 1)
@@ -278,13 +284,21 @@
 	return removed
 }
 
-// expectedWait estimates the time until the item would start, if all items of more
-// urgent levels and those before it on its own level start first.
-func (q *Queue) expectedWait(item Item, slots, free int) time.Duration {
+// ahead estimates how many waiting items start before an arriving item: all items of more
+// urgent levels and those before it on its own level.
+func (q *Queue) ahead(item Item) float64 {
 	ahead := q.levels[item.Level].estimateAhead(item)
 	for i := range item.Level {
 		ahead += float64(q.levels[i].length)
 	}
+
+	return ahead
+}
+
+// expectedWait estimates the time until the item would start, if all items of more
+// urgent levels and those before it on its own level start first.
+func (q *Queue) expectedWait(item Item, slots, free int) time.Duration {
+	ahead := q.ahead(item)
 	if ahead < float64(free) {
 		return 0
 	}
--- a/internal/daemon/egress/egress.go
+++ b/internal/daemon/egress/egress.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/core/attempt"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/histogram"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/pace"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/queue"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/suspicion"
 )
@@ -103,11 +104,14 @@
 	// slowness estimates whether the upstream is slower than the service's other
 	// upstreams.
 	slowness *suspicion.Filter
-	// limited says that the last answer named a limit, in requests a second, and
-	// limitNamedAt when that was.
-	limited      bool
+	// limit is the number of requests a second that the last answer named, and
+	// limitNamedAt when that was. pace spaces the requests accordingly; it is nil if no
+	// limit is named.
 	limit        float64
 	limitNamedAt time.Time
+	pace         *pace.Bucket
+	// paceTimer starts a queued attempt when pace allows the next one.
+	paceTimer *time.Timer
 	// leaving says that an answer of the present incarnation said that it leaves.
 	leaving bool
 	// lastSlowEnd is when the last attempt ended that counted as slow.
--- a/internal/daemon/egress/membership.go
+++ b/internal/daemon/egress/membership.go
@@ -52,7 +52,7 @@
 func (e *Egress) resetEstimates(u *localUpstream, upstream fleet.Upstream, now time.Time) {
 	if u.suspicion == nil || u.announcement.Incarnation != upstream.Incarnation {
 		u.suspicion, u.slowness = suspicion.New(now), suspicion.New(now)
-		u.limited, u.limit, u.leaving = false, 0, false
+		u.pace, u.limit, u.leaving = nil, 0, false
 	}
 }
 
--- a/internal/daemon/egress/run.go
+++ b/internal/daemon/egress/run.go
@@ -114,6 +114,8 @@
 		refusal = fleet.Refuse(fleet.ReasonSuspect, "the upstream probably fails at present")
 	case a.NoWait && u.inFlight >= u.announcement.Slots:
 		refusal = fleet.Refuse(fleet.ReasonBusy, "the upstream has no free slot")
+	case a.NoWait && u.paceWait(0, now) > 0:
+		refusal = fleet.Refuse(fleet.ReasonBusy, "the upstream takes no more requests at present")
 	default:
 		return fleet.Reply{}, true
 	}
@@ -167,7 +169,15 @@
 // refuses the attempts that it displaces from a full queue. The caller holds mu.
 func (e *Egress) enqueue(admitted *admittedAttempt, now time.Time) {
 	u := admitted.upstream
-	pushed := u.queue.Push(queueItem(&admitted.attempt, now), u.announcement.Slots, max(u.announcement.Slots-u.inFlight, 0), now)
+	item := queueItem(&admitted.attempt, now)
+	if wait := u.paceWait(u.queue.EstimateAhead(item), now); wait > 0 && now.Add(wait+item.ServiceTime/2).After(item.Deadline) {
+		late := fleet.Refuse(fleet.ReasonDeadline, "the upstream's limit delays the attempt beyond its deadline")
+		late.RetryAfter = wait
+		e.refuse(admitted.attempt.ID, late)
+
+		return
+	}
+	pushed := u.queue.Push(item, u.announcement.Slots, max(u.announcement.Slots-u.inFlight, 0), now)
 	full := fleet.Refuse(fleet.ReasonQueueFull, "the queue is full and the client account has its share of it")
 	full.RetryAfter = pushed.ExpectedWait
 	for _, item := range pushed.Displaced {
@@ -183,10 +193,16 @@
 	}
 }
 
-// startQueued starts queued attempts while slots are free. The caller holds mu.
+// startQueued starts queued attempts while slots are free and the upstream takes more
+// requests. The caller holds mu.
 func (e *Egress) startQueued(u *localUpstream) {
 	now := time.Now()
 	for u.inFlight < u.announcement.Slots {
+		if wait := u.paceWait(0, now); wait > 0 && u.queue.Len() > 0 {
+			e.startQueuedAfter(u, wait)
+
+			return
+		}
 		item, found, expired := u.queue.Pop(now)
 		for _, late := range expired {
 			e.refuse(late.ID, fleet.Refuse(fleet.ReasonDeadline, "the deadline passed in the queue"))
@@ -200,6 +216,9 @@
 		admitted := e.queued[item.ID]
 		delete(e.queued, item.ID)
 		u.inFlight++
+		if u.pace != nil {
+			u.pace.Take(now)
+		}
 		e.running++
 		if admitted.attempt.Repeat {
 			e.runningRepeats++
@@ -267,10 +286,12 @@
 // loadFor returns the load of an upstream, with the wait that attempt a would have in its queue.
 // The caller holds mu.
 func (e *Egress) loadFor(u *localUpstream, a *fleet.Attempt, now time.Time) fleet.Load {
+	item := queueItem(a, now)
 	load := fleet.Load{
 		InFlight: u.inFlight, Queued: u.queue.Len(), Slots: u.announcement.Slots, State: e.effectiveState(u),
-		ExpectedWait: u.queue.EstimateWait(queueItem(a, now), u.announcement.Slots, u.announcement.Slots-u.inFlight), ServiceTime: u.typicalLatency,
+		ExpectedWait: u.queue.EstimateWait(item, u.announcement.Slots, u.announcement.Slots-u.inFlight), ServiceTime: u.typicalLatency,
 	}
+	load.ExpectedWait = max(load.ExpectedWait, u.paceWait(u.queue.EstimateAhead(item), now))
 	if u.suspicion != nil {
 		load.Suspicion = 1 - (1-u.suspicion.FailureProbability(now))*(1-u.slowness.FailureProbability(now))
 		load.Suspect = u.isSuspect(e.settings.SuspicionThreshold(u.announcement.Service), now)
