Send nothing more to an upstream whose answers say that it leaves

The header was read and logged, but only the announced state counted.

Change: the first such answer makes the upstream drain at its egress, as if it had announced it: what is queued is refused as not run, the members are told, and the ingresses place requests elsewhere. It holds for that incarnation. All requests pass the egress, so no daemon that passed the answer on needs to remember it. After a restart of the egress the upstream is unknown until it announces itself again, which then says that it drains.

Before: TestRequestsToLeavingUpstream "got 81 requests after the upstream said that it leaves, want none". After: it passes.

--- a/internal/daemon/egress/membership.go
+++ b/internal/daemon/egress/membership.go
@@ -198,8 +198,7 @@
 	return true
 }
 
-// Upstreams returns the announced upstreams, ordered by name. The state of an upstream is
-// Draining if an operator drains it or the daemon is stopping.
+// Upstreams returns the announced upstreams, ordered by name, with their effective state.
 func (e *Egress) Upstreams() []fleet.Upstream {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -245,10 +244,10 @@
 	}
 }
 
-// effectiveState returns the announced state of an upstream, or Draining if an operator
-// drains it or the daemon is stopping. The caller holds mu.
+// effectiveState returns the announced state of an upstream, or Draining if its answers say
+// that it leaves, an operator drains it or the daemon is stopping. The caller holds mu.
 func (e *Egress) effectiveState(u *localUpstream) fleet.UpstreamState {
-	if _, drained := e.drains[u.announcement.Name]; drained || e.stopping {
+	if _, drained := e.drains[u.announcement.Name]; drained || e.stopping || u.leaving {
 		return fleet.Draining
 	}
 
--- a/internal/daemon/egress/signals.go
+++ b/internal/daemon/egress/signals.go
@@ -14,6 +14,9 @@
 		u.leaving = true
 		e.counters.Add("UpstreamsLeaving", 1)
 		e.logUpstream("upstream says that it leaves", u.announcement)
+		u.announcement.StateSince = now
+		e.drainQueue(u, fleet.ReasonDraining, "the upstream says that it leaves")
+		e.notify()
 	}
 	switch {
 	case signals.HasLimit && signals.Limit >= 0:
--- a/internal/daemon/egress/signals_test.go
+++ b/internal/daemon/egress/signals_test.go
@@ -115,3 +115,37 @@
 		})
 	}
 }
+
+// Guards against requests to an upstream that says in its answers that it leaves, whatever it
+// announces, and against a next incarnation that gets none.
+func TestRequestsToLeavingUpstream(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &signalling{}
+		f := newFixture(t, s.call)
+		stop := f.load(t)
+		defer stop()
+		time.Sleep(5 * time.Second)
+		s.set(fleet.UpstreamSignals{Leaving: true})
+		time.Sleep(200 * time.Millisecond) // an answer
+		from := time.Now()
+		time.Sleep(5 * time.Second)
+		if got := s.callsBetween(from, time.Now()); got > 0 {
+			t.Errorf("got %d requests after the upstream said that it leaves, want none", got)
+		}
+		if upstreams := f.Upstreams(); len(upstreams) != 1 || upstreams[0].State != fleet.Draining {
+			t.Errorf("got %+v, want one upstream that drains", upstreams)
+		}
+		if reply := f.Run(t.Context(), session, attemptOf(9999)); reply.Reason != fleet.ReasonDraining {
+			t.Errorf("got %v, %q, want the attempt refused as draining", reply.Outcome, reply.Reason)
+		}
+		stop()
+		s.set(fleet.UpstreamSignals{})
+		next := calendar
+		next.Incarnation = 2
+		f.Announce(next)
+		if reply := f.Run(t.Context(), session, attemptOf(10_000)); reply.Outcome != fleet.Ran {
+			t.Errorf("got %v, %q of the next incarnation, want an answer", reply.Outcome, reply.Reason)
+		}
+	})
+}
