Serve the upstreams of a stopping daemon until its callers have been sent away

Cause: a stop refused all attempts at once and then still took 4.5 s, while its upstreams, which go on running, are reached only through it. 27 daemons stopped one after the other take a quarter of the upstreams away. The class: giving up work that one could still do at the begin of a stop instead of when the time for it runs out.

Change: a stopping daemon asks its callers to close their connections and goes on as before for 2 s, at most half of its time; only then it tells the fleet that it leaves, refuses attempts, and gives its grants and shares up. The stop takes as long as before, since it waited those 2 s for its callers anyway; running attempts have 3.6 s of 6 s left then.

Before: TestUpstreamIdleWhileDaemonStops "got 0 requests at the upstream of a stopping daemon in 1s, want some". After: it passes, and every request of that test is answered; TestPlannedStopCutsNothing and TestDrainingUpstreamGetsNothingNew pass.

--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -45,9 +45,11 @@
 	// stopMargin is the time between the deadline of a planned stop and the end of
 	// Bounds.StopGrace, when the platform kills the process.
 	stopMargin = 400 * time.Millisecond
-	// lameDuckPeriod is how long a stopping daemon still answers callers. It asks each
-	// to close its connection, and already refuses new attempts.
-	lameDuckPeriod = 2 * time.Second
+	// lameDuckPeriod is how long a stopping daemon asks callers to close their connections
+	// before it refuses new attempts, because its upstreams may well go on running. It is
+	// at most the stop's time divided by lameDuckDivisor: running attempts need the rest.
+	lameDuckPeriod  = 2 * time.Second
+	lameDuckDivisor = 2
 	// idleTimeout bounds how long a stopping daemon waits, after the lame-duck period,
 	// for callers whose open connections have been idle since the stop began. If
 	// Bounds.StopGrace is set, the wait is at most idleGraceFraction × Bounds.StopGrace,
--- a/internal/daemon/server/stop.go
+++ b/internal/daemon/server/stop.go
@@ -27,10 +27,10 @@
 	d.log.Info("settings read again", "changed", changed, "in_force", "Bounds.StopGrace", "stop_grace", next.Bounds.StopGrace)
 }
 
-// Stop performs a planned stop: it refuses new attempts, lets requests in flight
-// finish, and returns leases and tokens. It takes at most stopTimeout, or
-// Bounds.StopGrace less stopMargin if that is set; attempts still running then are
-// cut off.
+// Stop performs a planned stop: it sends callers away while the local upstreams are still
+// served, then refuses new attempts, lets requests in flight finish, and returns leases and
+// tokens. It takes at most stopTimeout, or Bounds.StopGrace less stopMargin if that is set;
+// attempts still running then are cut off.
 func (d *Daemon) Stop(ctx context.Context) {
 	timeout := stopTimeout
 	if grace := time.Duration(d.stopGrace.Load()); grace > 0 {
@@ -42,20 +42,20 @@
 
 	d.log.Info("stopping")
 	d.accepting.Store(false)
-	d.membership.SetLeaving(true)
 	d.callerServer.Drain()
 
+	select {
+	case <-time.After(min(lameDuckPeriod, timeout/lameDuckDivisor)):
+	case <-ctx.Done():
+	}
+
+	d.membership.SetLeaving(true)
+
 	stopped := make(chan int, 1)
 
 	go func() { stopped <- d.egress.Stop(ctx) }()
 
 	d.limits.StopGranting()
-
-	select {
-	case <-time.After(lameDuckPeriod):
-	case <-ctx.Done():
-	}
-
 	d.awaitIdleCallers(ctx)
 	d.callerServer.Stop(ctx)
 	d.ingress.Stop(ctx)
