Wait for a reserved address that a forked process still holds

The fleet had just found this address free.

Cause: finding an address free means to listen on it and close the listener. A process that another fleet forks in between has a copy of the listener until it executes its program, so the address stays in use for that moment, on a busy machine for longer. The proxies listen in the same process right after that; daemons start later and do not meet it.

Ruled out: another fleet with the same addresses (random hosts in 127/8, one in 16 million) and outgoing connections (ports from 32,768).

Change, in the stand-in cluster only: a proxy waits for its address like one waits for a process to listen. Before: TestReservedAddressInUse "address already in use, want a proxy once the address is free". After: it passes.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -142,7 +143,7 @@
 		field           **proxy.Proxy
 		address, target netip.AddrPort
 	}{{&d.PeerProxy, d.PeerAddress, peerListenAddress}, {&d.PlatformProxy, platformAddress, c.PlatformAddress}} {
-		started, stop, err := proxy.New(p.address, p.target)
+		started, stop, err := startProxy(p.address, p.target)
 		if err != nil {
 			return fmt.Errorf("proxy of daemon %s: %w", d.Name, err)
 		}
@@ -154,6 +155,18 @@
 	return nil
 }
 
+// startProxy starts a proxy at a reserved address. It waits for at most startTimeout while
+// the address is in use: a process that another fleet has just forked holds a copy of the
+// listener that reserved it, until it executes its program.
+func startProxy(address, target netip.AddrPort) (*proxy.Proxy, func(), error) {
+	for deadline := time.Now().Add(startTimeout); ; time.Sleep(pollInterval) {
+		started, stop, err := proxy.New(address, target)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return started, stop, err
+		}
+	}
+}
+
 func (c *Cluster) start(ctx context.Context) error {
 	var err error
 
