Check names and numbers from outside before they are stored or spread

Cause: the platform's adapter took any name that was not empty, while the fleet's own interface checked names. The membership encodes the name with protobuf, which takes UTF-8 only, and ends the process where that is broken.

Evidence: the log has 'upstream announced' with the name, then the panic 'membership: encode member entry: string field contains invalid UTF-8' below Daemon.forwardUpstreams. Ruled out: a panic of the handler, which net/http recovers and which would not have answered 200; the egress, whose map takes any string.

Change: fleet.ValidName and Upstream.Validate are the one check of both interfaces; a heartbeat with another name, service, address or number is answered with 400, counted, and logged once an hour (core/novelty). The same rule holds for departures, drains by operators, the names in other daemons' Hello and member entries, and addresses in the store; request IDs, queries and idempotency keys that are no UTF-8 are refused with 400 instead of failing with 413 at other daemons only. The panic stays, since it marks a broken invariant.

Why it works: every string of a member entry comes from checked settings or passes Validate.

Fuzz targets run their seeds; none was run for longer.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT := $(BIN)/golangci-lint
 # Tests of whole fleets run after the others and one package at a time, because
 # they judge bounds of a few seconds.
-FLEETS := internal/daemon/server internal/standin/cluster internal/standin/soak
+FLEETS := platform internal/daemon/server internal/standin/cluster internal/standin/soak
 
 # KNOWN-RED.txt lists the tests that fail for a known fault, one a line "Test: NAME".
 KNOWN_RED := $(shell sed -n 's/^Test: \([A-Za-z0-9_]*\)$$/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
@@ -31,7 +31,7 @@
 test: lint names ## format, lint, vet, build, all tests
 	go vet ./...
 	$(MAKE) build
-	go test $(SKIP) $$(go list ./... | grep -v $(foreach p,$(FLEETS),-e $(p)))
+	go test $(SKIP) $$(go list ./... | grep -v $(foreach p,$(FLEETS),-e 'kumquatshelf/$(p)$$'))
 	go test -p 1 $(SKIP) $(addprefix ./,$(FLEETS))
 
 bench: ## the decisions' measures beside their baselines, in one table
--- a/internal/adapter/caller/front.go
+++ b/internal/adapter/caller/front.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -199,6 +200,10 @@
 		return request, fleet.Refuse(fleet.ReasonBadRequest, problem)
 	case len(options.Key) > maxKeyBytes:
 		return request, fleet.Refuse(fleet.ReasonBadRequest, "the key is longer than 256 bytes")
+	case !utf8.ValidString(options.ID) || !utf8.ValidString(r.URL.RequestURI()):
+		return request, fleet.Refuse(fleet.ReasonBadRequest, "the request's ID or target is not UTF-8")
+	case !utf8.ValidString(r.Header.Get(fleet.IdempotencyKeyHeader)):
+		return request, fleet.Refuse(fleet.ReasonBadRequest, fleet.IdempotencyKeyHeader+" is not UTF-8")
 	}
 
 	body, refusal := s.readBody(w, r)
--- a/internal/adapter/caller/front_test.go
+++ b/internal/adapter/caller/front_test.go
@@ -108,6 +108,9 @@
 		{"oversized key", "GET / HTTP/1.1\r\nHost: a\r\nKumquatshelf-Key: " + long[:300] + "\r\n\r\n", http.StatusBadRequest},
 		{"two keys", "GET / HTTP/1.1\r\nHost: a\r\nKumquatshelf-Key: a\r\nAuthorization: Bearer b\r\n\r\n", http.StatusBadRequest},
 		{"bad timeout", "GET / HTTP/1.1\r\nHost: a\r\nKumquatshelf-Timeout: soon\r\n\r\n", http.StatusBadRequest},
+		{"ID not UTF-8", "GET / HTTP/1.1\r\nHost: a\r\nRequest-ID: \xff\xfe\r\n\r\n", http.StatusBadRequest},
+		{"query not UTF-8", "GET /?a=\xff HTTP/1.1\r\nHost: a\r\n\r\n", http.StatusBadRequest},
+		{"idempotency key not UTF-8", "GET / HTTP/1.1\r\nHost: a\r\nIdempotency-Key: 12345678\xff\r\n\r\n", http.StatusBadRequest},
 		{"upgrade", "GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n", http.StatusNotImplemented},
 		{"connect", "CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n", http.StatusNotImplemented},
 	}
--- a/internal/adapter/operator/server.go
+++ b/internal/adapter/operator/server.go
@@ -1,10 +1,13 @@
 package operator
 
 import (
+	"fmt"
 	"net/http"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
 )
 
@@ -47,6 +50,10 @@
 	for path, draining := range map[string]bool{"Drain": true, "Undrain": false} {
 		e.POST("/Upstreams/:Name/"+path, handleAction(daemon, func(c echo.Context, operatorName string) (int, string) {
 			upstream := c.Param("Name")
+			if !fleet.ValidName(upstream) {
+				return http.StatusBadRequest, fmt.Sprintf("name %.64q: want %s", upstream, fleet.NameForm)
+			}
+
 			if draining && !daemon.HasUpstream(upstream) {
 				return http.StatusNotFound, "no upstream of this name is announced"
 			}
@@ -58,6 +65,9 @@
 	}
 }
 
+// maxOperatorBytes limits the operator's name, which is stored in the audit trail.
+const maxOperatorBytes = 256
+
 // handleAction returns a handler that passes the operator's name to do and writes the
 // status and the detail of its result as a Confirmation.
 func handleAction(daemon Controller, do func(c echo.Context, operatorName string) (status int, detail string)) echo.HandlerFunc {
@@ -65,7 +75,10 @@
 		operatorName := c.Request().Header.Get(HeaderOperator)
 
 		status, detail := http.StatusBadRequest, "the header "+HeaderOperator+" is missing; expected who acts"
-		if operatorName != "" {
+		switch {
+		case len(operatorName) > maxOperatorBytes || !utf8.ValidString(operatorName):
+			detail = "the header " + HeaderOperator + " is not a name of up to 256 bytes in UTF-8"
+		case operatorName != "":
 			status, detail = do(c, operatorName)
 		}
 
--- a/internal/adapter/peer/session.go
+++ b/internal/adapter/peer/session.go
@@ -150,7 +150,7 @@
 	switch {
 	case frame.GetError() != nil:
 		return nil, false
-	case hello == nil || hello.Name == "":
+	case hello == nil || !fleet.ValidName(hello.Name):
 		n.rejectFrame(conn, frameMalformed)
 
 		return nil, false
--- a/internal/adapter/upstream/announce.go
+++ b/internal/adapter/upstream/announce.go
@@ -7,25 +7,15 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"regexp"
 
 	"github.com/labstack/echo/v4"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 )
 
-const (
-	// maxAnnouncementBytes limits the body of an announcement. A valid body has about
-	// 100 bytes.
-	maxAnnouncementBytes = 4 << 10
-	// maxSlots limits the slots of an upstream, because with a mistyped large number
-	// its requests would never be queued.
-	maxSlots = 1024
-)
-
-// validName matches the names of upstreams and services. It limits their length
-// because every daemon stores them.
-var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+// maxAnnouncementBytes limits the body of an announcement. A valid body has about 100
+// bytes.
+const maxAnnouncementBytes = 4 << 10
 
 // Directory stores the upstreams that are announced to this daemon.
 type Directory interface {
@@ -83,9 +73,6 @@
 // field and the expected value. The text of the error is sent to the upstream.
 func parseAnnouncement(name string, body io.Reader) (fleet.Upstream, error) {
 	var empty fleet.Upstream
-	if !validName.MatchString(name) {
-		return empty, fmt.Errorf("name %q: want 1 to 128 letters, digits, '.', '_' or '-'", name)
-	}
 	limited := &io.LimitedReader{R: body, N: maxAnnouncementBytes + 1}
 	decoder := json.NewDecoder(limited)
 	decoder.DisallowUnknownFields()
@@ -100,20 +87,18 @@
 	if err != nil {
 		return empty, fmt.Errorf("body: %w", err)
 	}
-	if !validName.MatchString(a.Service) {
-		return empty, fmt.Errorf("field Service %q: want 1 to 128 letters, digits, '.', '_' or '-'", a.Service)
-	}
 	address, err := netip.ParseAddrPort(a.Address)
-	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() {
-		return empty, fmt.Errorf("field Address %q: want an IP address and port, such as 127.0.0.1:8080", a.Address)
-	}
-	if a.Slots < 1 || a.Slots > maxSlots {
-		return empty, fmt.Errorf("field Slots %d: want 1 to %d", a.Slots, maxSlots)
+	if err != nil {
+		return empty, fmt.Errorf("field Address %.64q: want an IP address and port, such as 127.0.0.1:8080", a.Address)
 	}
 	state, ok := fleet.ParseUpstreamState(a.State)
 	if !ok {
-		return empty, fmt.Errorf("field State %q: want Warming, Ready, Shedding or Draining", a.State)
+		return empty, fmt.Errorf("field State %.64q: want Warming, Ready, Shedding or Draining", a.State)
+	}
+	upstream := fleet.Upstream{Name: name, Service: a.Service, Address: address, Slots: a.Slots, State: state}
+	if err := upstream.Validate(); err != nil {
+		return empty, fmt.Errorf("announcement: %w", err)
 	}
 
-	return fleet.Upstream{Name: name, Service: a.Service, Address: address, Slots: a.Slots, State: state}, nil
+	return upstream, nil
 }
--- a/internal/adapter/upstream/announce_test.go
+++ b/internal/adapter/upstream/announce_test.go
@@ -52,6 +52,10 @@
 		"no slots":        {"PUT", "/Upstreams/c-1", strings.Replace(good, "3", "0", 1), 0, 400, "Slots"},
 		"too many slots":  {"PUT", "/Upstreams/c-1", strings.Replace(good, "3", "1025", 1), 0, 400, "Slots"},
 		"unknown state":   {"PUT", "/Upstreams/c-1", strings.Replace(good, "Ready", "Fine", 1), 0, 400, "State"},
+		"name not UTF-8":  {"PUT", "/Upstreams/%FF%FE", good, 0, 400, "name"},
+		"port 99999":      {"PUT", "/Upstreams/c-1", strings.Replace(good, ":81", ":99999", 1), 0, 400, "Address"},
+		"fraction":        {"PUT", "/Upstreams/c-1", strings.Replace(good, "3", "2.5", 1), 0, 400, "Slots"},
+		"huge number":     {"PUT", "/Upstreams/c-1", strings.Replace(good, "3", "1e400", 1), 0, 400, "Slots"},
 		"delete":          {"DELETE", "/Upstreams/known", "", 0, 204, ""},
 		"delete unknown":  {"DELETE", "/Upstreams/c-1", "", 0, 404, "not announced"},
 		"another  method": {"POST", "/Upstreams/c-1", good, 0, 405, ""},
@@ -76,3 +80,34 @@
 		})
 	}
 }
+
+// Guards against a panic on arbitrary announcements, and against accepted ones of upstreams
+// that cannot be stored, sent to other daemons or called.
+func FuzzAnnounceEndpoint(f *testing.F) {
+	const good = `{"Service":"Calendar","Address":"127.0.0.1:81","Slots":3,"State":"Ready"}`
+	f.Add("c-1", good)
+	f.Add("\xff\xfe", good)
+	f.Add("c\x00", good)
+	f.Add(strings.Repeat("c", 8<<10), good)
+	for _, replacement := range [][2]string{
+		{"3", "1e400"},
+		{"3", "-1"},
+		{"3", "0.5"},
+		{":81", ":0"},
+		{":81", ":-1"},
+		{":81", ":65536"},
+		{"Calendar", "\xff\xfe"},
+		{"3", "3,\"Slots\":99999"},
+		{"3", strings.Repeat("[", 10_001)},
+		{"Ready", "\u0000"},
+	} {
+		f.Add("c-1", strings.Replace(good, replacement[0], replacement[1], 1))
+	}
+	f.Add("c-1", good[:30])
+	f.Fuzz(func(t *testing.T, name, body string) {
+		upstream, err := parseAnnouncement(name, strings.NewReader(body))
+		if err == nil && upstream.Validate() != nil {
+			t.Errorf("got %+v of %q accepted from %q", upstream, name, body)
+		}
+	})
+}
--- a/internal/core/fleet/attempt.go
+++ b/internal/core/fleet/attempt.go
@@ -33,6 +33,10 @@
 	Body   []byte
 }
 
+// IdempotencyKeyHeader carries the caller's own key for a request, which lets an egress
+// recognize repeats of it.
+const IdempotencyKeyHeader = "Idempotency-Key"
+
 // Attempt is a request that an ingress sends to the egress of one upstream.
 type Attempt struct {
 	ID AttemptID
--- a/internal/daemon/directory/directory.go
+++ b/internal/daemon/directory/directory.go
@@ -81,11 +81,12 @@
 }
 
 // Update replaces a member and its upstreams by the content of its member entry. It
-// ignores entries that cannot be decoded.
-func (d *Directory) Update(entry fleet.Entry) {
+// ignores entries that cannot be decoded and upstreams that cannot be used, and reports
+// whether there was neither.
+func (d *Directory) Update(entry fleet.Entry) bool {
 	decoded, ok := membership.DecodeMember(entry)
 	if !ok {
-		return
+		return false
 	}
 
 	m := &member{
@@ -117,6 +118,8 @@
 	}
 
 	m.services = slices.Clip(m.services)
+
+	return decoded.UnusableUpstreams == 0
 }
 
 // Prune removes members that membership no longer knows. Membership removes the entry
--- a/internal/daemon/discovery/discovery.go
+++ b/internal/daemon/discovery/discovery.go
@@ -127,7 +127,7 @@
 		}
 		for _, object := range page.Objects {
 			var registered registration
-			if object.Name != r.name && json.Unmarshal(object.Value, &registered) == nil && registered.PeerAddress.IsValid() {
+			if object.Name != r.name && json.Unmarshal(object.Value, &registered) == nil && fleet.ValidEndpoint(registered.PeerAddress) {
 				addresses = append(addresses, registered.PeerAddress)
 			}
 		}
--- a/internal/daemon/egress/egress.go
+++ b/internal/daemon/egress/egress.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/core/attempt"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/histogram"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/novelty"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/pace"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/queue"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/suspicion"
@@ -33,9 +34,9 @@
 	// maxUpstreams bounds the local upstreams. It is several times the 43 upstreams per
 	// daemon that the design aims at.
 	maxUpstreams = 256
-	// maxLoggedProblems bounds the problems of announcements that are remembered as
-	// logged. A remembered problem of an upstream is not logged again.
+	// maxLoggedProblems bounds the lines about invalid announcements in problemRetention.
 	maxLoggedProblems = 256
+	problemRetention  = time.Hour
 	// maxDrains bounds the recorded drains by operators, which may be of upstreams of any
 	// daemon.
 	maxDrains = 16_384
@@ -154,8 +155,8 @@
 	queued    map[fleet.AttemptID]*admittedAttempt
 	drains    map[string]time.Time
 	departed  *departures
-	// loggedProblems are the problems of announcements that have been logged.
-	loggedProblems map[string]struct{}
+	// problems are the problems of announcements that have been logged.
+	problems *novelty.Set
 	// nestedFailedAt is when a call by a local upstream last failed.
 	nestedFailedAt time.Time
 	// running counts the attempts that have started and not ended.
@@ -184,8 +185,8 @@
 		drains:      map[string]time.Time{},
 		departed:    newDepartures(),
 
-		loggedProblems: map[string]struct{}{},
-		idle:           make(chan struct{}),
+		problems: novelty.New(maxLoggedProblems, problemRetention),
+		idle:     make(chan struct{}),
 	}
 	e.counters = e.newCounters()
 	var sweeper sync.WaitGroup
--- a/internal/daemon/egress/membership.go
+++ b/internal/daemon/egress/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -113,18 +114,15 @@
 	return announced
 }
 
-// RecordInvalidAnnouncement counts an announcement that cannot be used. It logs each
-// problem of an upstream once.
+// RecordInvalidAnnouncement counts an announcement that cannot be used. It logs a problem of
+// an upstream when it is new.
 func (e *Egress) RecordInvalidAnnouncement(name string, problem error) {
 	e.counters.Add("AnnouncementsUnreadable", 1)
-	key := name + ": " + problem.Error()
+	name = fmt.Sprintf("%.*q", fleet.MaxNameBytes, name)
 	e.mu.Lock()
-	_, logged := e.loggedProblems[key]
-	if !logged && len(e.loggedProblems) < maxLoggedProblems {
-		e.loggedProblems[key] = struct{}{}
-	}
+	isNew := e.problems.IsNew(name+problem.Error(), time.Now())
 	e.mu.Unlock()
-	if !logged {
+	if isNew {
 		e.log.Warn("announcement refused", "upstream", name, "error", problem)
 	}
 }
--- a/internal/daemon/ingress/attempt.go
+++ b/internal/daemon/ingress/attempt.go
@@ -27,7 +27,7 @@
 		request.UntilTarget = min(request.UntilDeadline, remaining)
 	}
 
-	key := d.request.Header.Get(idempotencyHeader)
+	key := d.request.Header.Get(fleet.IdempotencyKeyHeader)
 	if key != "" && !d.route.Idempotent {
 		request.AffinityKey = d.account.Name + "\x00" + key
 	}
--- a/internal/daemon/ingress/dispatch.go
+++ b/internal/daemon/ingress/dispatch.go
@@ -23,9 +23,6 @@
 	// maxNoUpstreamWait is the time, from its arrival, for which a request waits for
 	// the first upstream of its service before it is refused.
 	maxNoUpstreamWait = time.Second
-	// idempotencyHeader carries the caller's own key for a request, which lets an egress
-	// recognise repeats of it.
-	idempotencyHeader = "Idempotency-Key"
 )
 
 // job is a request that has passed the key check and the limits.
--- a/internal/daemon/membership/member.go
+++ b/internal/daemon/membership/member.go
@@ -26,6 +26,9 @@
 	Status gossip.Status
 	// Leaving says that the member is about to leave the fleet.
 	Leaving bool
+	// UnusableUpstreams is the number of upstreams in the entry that were left out, since
+	// their names or numbers are out of range.
+	UnusableUpstreams int
 }
 
 // DecodeMemberInfo decodes the fields of a member entry's value that gossip needs. It
@@ -61,7 +64,8 @@
 }
 
 // DecodeMember decodes a member entry. The Status of the result is Alive. It reports
-// false if the value is malformed; addresses that cannot be parsed are left zero.
+// false if the value is malformed; addresses that cannot be parsed are left zero, and
+// upstreams that cannot be used are left out.
 func DecodeMember(e fleet.Entry) (Member, bool) {
 	m := &peerpb.Member{}
 	if proto.Unmarshal(e.Value, m) != nil {
@@ -74,6 +78,11 @@
 	member.PeerAddress, _ = netip.ParseAddrPort(m.PeerAddress)
 	member.OperatorAddress, _ = netip.ParseAddrPort(m.OperatorAddress)
 	for _, u := range m.Upstreams {
+		if !usable(u) {
+			member.UnusableUpstreams++
+
+			continue
+		}
 		upstream := fleet.Upstream{
 			Name: u.Name, Service: u.Service, Slots: int(u.Slots), State: fleet.UpstreamState(u.State),
 		}
@@ -85,3 +94,9 @@
 
 	return member, true
 }
+
+// usable reports whether an upstream that another daemon announces can be listed.
+func usable(u *peerpb.Upstream) bool {
+	return fleet.ValidName(u.GetName()) && fleet.ValidName(u.GetService()) &&
+		u.GetSlots() <= fleet.MaxSlots && u.GetState() <= uint32(fleet.Draining)
+}
--- a/internal/daemon/server/follow.go
+++ b/internal/daemon/server/follow.go
@@ -15,7 +15,7 @@
 // startForwarding starts the goroutines that forward changes between the components
 // of the daemon, one for each kind of change. They end with ctx.
 func (d *Daemon) startForwarding(ctx context.Context) {
-	d.goroutines.Go(func() { d.forwardEntries(ctx, fleet.KindMember, d.directory.Update) })
+	d.goroutines.Go(func() { d.forwardEntries(ctx, fleet.KindMember, d.applyMember) })
 	d.goroutines.Go(func() { d.forwardEntries(ctx, fleet.KindKey, d.applyKey) })
 	d.goroutines.Go(func() { d.forwardEntries(ctx, fleet.KindDrain, d.applyDrain) })
 	d.goroutines.Go(func() { d.forwardConfiguration(ctx) })
@@ -43,6 +43,19 @@
 	}
 }
 
+// applyMember updates the directory from a replicated member entry.
+func (d *Daemon) applyMember(entry fleet.Entry) {
+	if d.directory.Update(entry) {
+		return
+	}
+
+	d.unusableMembers.Add(1)
+
+	if d.problems.IsNew(entry.Key, time.Now()) {
+		d.log.Warn("ignoring unusable parts of a member entry", "daemon", entry.Key, "incarnation", entry.Incarnation)
+	}
+}
+
 // applyKey updates the key table from a replicated key entry. After a withdrawal
 // the ingress rechecks running answers at once.
 func (d *Daemon) applyKey(entry fleet.Entry) {
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/config/settings"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/novelty"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/suspicion"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/configuration"
 	"github.com/kumquatshelf/kumquatshelf/internal/daemon/directory"
@@ -59,6 +60,9 @@
 	// auditTimeout bounds the write of the remaining audit records in a planned stop.
 	// The store answers within milliseconds when it is available.
 	auditTimeout = 2 * time.Second
+	// maxLoggedProblems bounds the lines about unusable member entries in problemRetention.
+	maxLoggedProblems = 64
+	problemRetention  = time.Hour
 	// readyPollInterval is how often a starting daemon checks whether it can serve.
 	readyPollInterval = 50 * time.Millisecond
 )
@@ -115,6 +119,10 @@
 	goroutines sync.WaitGroup
 	// cleanUps are run in reverse order when the daemon closes.
 	cleanUps []func()
+	// unusableMembers counts the member entries that could not be used as a whole, and
+	// problems has the daemons for which that was logged. It is used by one goroutine.
+	unusableMembers expvar.Int
+	problems        *novelty.Set
 	// restart is closed when the daemon must be started anew: because peers know a
 	// higher incarnation of it, or because accepting callers failed.
 	restart     chan struct{}
@@ -137,8 +145,11 @@
 func New(s settings.Settings, options Options, log *slog.Logger, metrics *expvar.Map) (*Daemon, func(), error) {
 	d := &Daemon{
 		settings: s, options: options, log: log, metrics: metrics, keys: keys.NewTable(), restart: make(chan struct{}),
+		problems: novelty.New(maxLoggedProblems, problemRetention),
 	}
 
+	metrics.Set("MembersUnusable", &d.unusableMembers)
+
 	d.stopGrace.Store(int64(s.Bounds.StopGrace))
 	metrics.Set("Process", processVariables())
 
--- a/internal/standin/cluster/addresses.go
+++ b/internal/standin/cluster/addresses.go
@@ -10,11 +10,11 @@
 	"time"
 )
 
-// reserveAddresses returns n free addresses for one fleet. They share a random loopback
+// ReserveAddresses returns n free loopback addresses for one fleet. They share a random loopback
 // address with consecutive ports, so that fleets that start at the same time do not take
 // each other's ports. The ports lie below the system's range for outgoing connections, so
 // that the ports of a restarting daemon are still free.
-func reserveAddresses(n int) ([]netip.AddrPort, error) {
+func ReserveAddresses(n int) ([]netip.AddrPort, error) {
 	var failure error
 
 	for range maxReservations {
--- a/internal/standin/cluster/addresses_test.go
+++ b/internal/standin/cluster/addresses_test.go
@@ -11,7 +11,7 @@
 func TestReservedAddressInUse(t *testing.T) {
 	t.Parallel()
 
-	addresses, err := reserveAddresses(2)
+	addresses, err := ReserveAddresses(2)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -99,7 +99,7 @@
 func New(ctx context.Context, plan Plan) (*Cluster, func(), error) {
 	c := &Cluster{plan: plan}
 
-	addresses, err := reserveAddresses(1 + addressesPerDaemon*plan.Daemons)
+	addresses, err := ReserveAddresses(1 + addressesPerDaemon*plan.Daemons)
 	if err != nil {
 		return nil, nil, err
 	}
