Acknowledge a departure once the next run of the daemon will know of it

Cause: departures were kept in the memory of the run that acknowledged them.

Evidence: the new run logs 'upstream announced' with the run and a sequence that the old run had seen leave ('upstream gone'). Ruled out: late heartbeats are not recognized at all (without the kill they are refused); another daemon's old member entry (the new run lists the upstream only after the heartbeat).

Change: on the platform, an announcement that ends an upstream's service, Draining or gone, is acknowledged only once it stands in the daemon's own object in the store, beside its address, for a minute. The next run reads that object anyway when it registers, and refuses what is older; a later run of the upstream, under the same id or address, is taken at once. While the object cannot be read, an upstream older than the daemon is taken after a second announcement; while it cannot be written, a departure is in force but not acknowledged.

Cost: no call more at a start; one read and one write for departures that come together (TestRecordOfManyDepartures).

Why it works: an acknowledgement is given only after the write was confirmed, so any later run under that name finds it, however often the daemon is killed.

Left: the own interface, whose announcements name no run; operators' drains, which all daemons forget if they stop at once.

--- a/internal/core/fleet/upstream.go
+++ b/internal/core/fleet/upstream.go
@@ -123,4 +123,11 @@
 	// Outdated means that the daemon has received a later announcement, which stays
 	// in force.
 	Outdated
+	// Unconfirmed means that the daemon cannot tell yet whether the announcement is from
+	// before a departure that an earlier run of the daemon heard of. The upstream is not
+	// used until a later announcement.
+	Unconfirmed
+	// Unrecorded means that the announcement is in force, but would be forgotten if the
+	// daemon started again. It must not be acknowledged.
+	Unrecorded
 )
--- a/internal/daemon/discovery/discovery.go
+++ b/internal/daemon/discovery/discovery.go
@@ -1,5 +1,7 @@
-// Package discovery lets daemons find each other through the store. Each daemon
-// registers there by an object with its address, which it deletes when it leaves.
+// Package discovery lets daemons find each other through the store. Each daemon registers
+// there by an object with its address, which it deletes when it leaves. The object also has
+// what the next run of the daemon must know: the departures of upstreams that this run has
+// acknowledged.
 package discovery
 
 import (
@@ -35,9 +37,22 @@
 	Page(ctx context.Context, kind, after string, stale bool) (fleet.ObjectPage, fleet.StoreOutcome)
 }
 
-// registration is the value of a daemon's object.
+// registration is the value of a daemon's object. A departure is decoded on its own, so that
+// one that cannot be read does not hide the others.
 type registration struct {
 	PeerAddress netip.AddrPort
+	Departures  []json.RawMessage `json:",omitempty"`
+}
+
+// decodeRegistration decodes the value of a daemon's object. It returns false and an empty
+// registration if the value is malformed.
+func decodeRegistration(value []byte) (registration, bool) {
+	var registered registration
+	if json.Unmarshal(value, &registered) != nil {
+		return registration{}, false
+	}
+
+	return registered, true
 }
 
 // Registry registers this daemon in the store and finds other daemons there. It is safe
@@ -48,19 +63,20 @@
 	store   Store
 	log     *slog.Logger
 
-	// mu protects random.
+	// mu protects random and record.
 	mu     sync.Mutex
 	random *rand.Rand
+	record record
 }
 
 // New returns the registry of a daemon with the given name and peer address, and starts to
 // register the daemon in the background. The returned function stops these attempts and
 // waits until their goroutine has ended. It does not remove the registration.
 func New(name string, address netip.AddrPort, store Store, random *rand.Rand, log *slog.Logger) (*Registry, func()) {
-	r := &Registry{name: name, address: address, store: store, random: random, log: log}
+	r := &Registry{name: name, address: address, store: store, random: random, log: log, record: newRecord()}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { r.register(ctx) })
+	running.Go(func() { r.maintain(ctx) })
 
 	return r, func() {
 		cancel()
@@ -68,50 +84,103 @@
 	}
 }
 
-// register tries to write the daemon's object until that succeeds or ctx ends.
-func (r *Registry) register(ctx context.Context) {
-	for failures := 0; ctx.Err() == nil; failures++ {
-		if r.writeRegistration(ctx) {
-			r.log.Info("daemon registered in the store", "kind", ObjectKind, "address", r.address)
+// maintain writes the daemon's object, and again after each change of it, until ctx ends.
+func (r *Registry) maintain(ctx context.Context) {
+	registered := false
+	for failures := 0; ctx.Err() == nil; {
+		if !r.write(ctx) {
+			r.pause(ctx, failures)
+			failures++
 
-			return
+			continue
+		}
+		failures = 0
+		if !registered {
+			registered = true
+			r.log.Info("daemon registered in the store", "kind", ObjectKind, "address", r.address)
 		}
-		delay := min(minRetryDelay<<min(failures, 8), maxRetryDelay)
-		r.mu.Lock()
-		delay = delay/2 + time.Duration(r.random.Int64N(int64(delay/2)))
-		r.mu.Unlock()
-		timer := time.NewTimer(delay)
 		select {
-		case <-timer.C:
+		case <-r.record.changed:
 		case <-ctx.Done():
-			timer.Stop()
 		}
 	}
 }
 
-// writeRegistration creates or replaces the daemon's object. It reports whether the
-// object is known to hold the daemon's current address.
-func (r *Registry) writeRegistration(ctx context.Context) bool {
+// pause waits before the next attempt to write the object.
+func (r *Registry) pause(ctx context.Context, failures int) {
+	delay := min(minRetryDelay<<min(failures, 8), maxRetryDelay)
+	r.mu.Lock()
+	delay = delay/2 + time.Duration(r.random.Int64N(int64(delay/2)))
+	r.mu.Unlock()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// write creates or replaces the daemon's object. It reports whether the object is known to
+// hold what the daemon has to say. The departures that it holds from an earlier run are kept.
+func (r *Registry) write(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value, err := json.Marshal(registration{r.address})
-	if err != nil {
-		panic("discovery: encode registration: " + err.Error()) // addresses can always be encoded
-	}
-	object := fleet.Object{Kind: ObjectKind, Name: r.name, Value: value}
-	if r.store.Put(ctx, object, fleet.IfAbsent) == fleet.StoreOK {
-		return true
+	r.mu.Lock()
+	isRestored := r.record.isRestored
+	r.mu.Unlock()
+	if !isRestored {
+		// The object usually does not exist before the first run of a daemon.
+		object, generation := r.object()
+		if r.store.Put(ctx, object, fleet.IfAbsent) == fleet.StoreOK {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.record.restore(nil, time.Now())
+			r.record.setWritten(generation)
+
+			return true
+		}
 	}
 	stored, outcome := r.store.Get(ctx, ObjectKind, r.name)
-	if outcome != fleet.StoreOK {
+	condition := fleet.IfVersion(stored.Version)
+	switch outcome {
+	case fleet.StoreOK:
+	case fleet.StoreNotFound:
+		condition = fleet.IfAbsent
+	default:
 		return false
 	}
-	var registered registration
-	if json.Unmarshal(stored.Value, &registered) == nil && registered.PeerAddress == r.address {
+	registered, _ := decodeRegistration(stored.Value)
+	r.mu.Lock()
+	r.record.restore(decodeDepartures(registered.Departures, time.Now()), time.Now())
+	isCurrent := registered.PeerAddress == r.address && r.record.written == r.record.generation
+	r.mu.Unlock()
+	if isCurrent {
 		return true
 	}
+	object, generation := r.object()
+	if r.store.Put(ctx, object, condition) != fleet.StoreOK {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.setWritten(generation)
+
+	return true
+}
+
+// object returns the daemon's object, and the generation of the departures in it.
+func (r *Registry) object() (fleet.Object, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	value, err := json.Marshal(struct {
+		PeerAddress netip.AddrPort
+		Departures  []fleet.Departure `json:",omitempty"`
+	}{r.address, r.record.departures})
+	if err != nil {
+		panic("discovery: encode registration: " + err.Error()) // addresses and departures can always be encoded
+	}
 
-	return r.store.Put(ctx, object, fleet.IfVersion(stored.Version)) == fleet.StoreOK
+	return fleet.Object{Kind: ObjectKind, Name: r.name, Value: value}, r.record.generation
 }
 
 // Peers returns the peer addresses of up to count other registered daemons, chosen at
@@ -126,8 +195,8 @@
 			break
 		}
 		for _, object := range page.Objects {
-			var registered registration
-			if object.Name != r.name && json.Unmarshal(object.Value, &registered) == nil && fleet.ValidEndpoint(registered.PeerAddress) {
+			registered, ok := decodeRegistration(object.Value)
+			if ok && object.Name != r.name && fleet.ValidEndpoint(registered.PeerAddress) {
 				addresses = append(addresses, registered.PeerAddress)
 			}
 		}
--- a/internal/daemon/egress/departures.go
+++ b/internal/daemon/egress/departures.go
@@ -1,60 +1,94 @@
 package egress
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
 )
 
-const (
-	// departureRetention is how long a departure is remembered. It is longer than an
-	// announcement can be delayed.
-	departureRetention = time.Minute
-	// maxDepartures bounds the number of departures that are remembered, and thus the
-	// memory for upstreams that come and go.
-	maxDepartures = 1024
-)
+// maxDepartures bounds the departures that are remembered, and thus the memory for upstreams
+// that come and go.
+const maxDepartures = 1024
 
-// departures remembers which incarnations of upstreams have left, so that late
-// announcements do not add them again.
+// departures remembers which runs of upstreams leave or have left, so that late announcements
+// do not bring them back.
 type departures struct {
-	byName map[string]departure
+	byName map[string]fleet.Departure
 }
 
-// departure is the departure of one upstream.
-type departure struct {
-	// incarnation is the latest one that left, or 0 if it is not known.
-	incarnation uint64
-	at          time.Time
+func newDepartures() *departures {
+	return &departures{byName: map[string]fleet.Departure{}}
 }
 
-func newDepartures() *departures {
-	return &departures{byName: map[string]departure{}}
+// add remembers a departure. If maxDepartures are remembered, it drops the expired ones, or
+// else the oldest.
+func (d *departures) add(departure fleet.Departure, now time.Time) {
+	known, found := d.byName[departure.Name]
+	if found && !known.Expired(now) && !departure.Supersedes(known) {
+		return
+	}
+	if !found && len(d.byName) >= maxDepartures {
+		d.makeRoom(now)
+	}
+	d.byName[departure.Name] = departure
 }
 
-// add records that an incarnation of an upstream has left. If maxDepartures are recorded,
-// it first drops the expired ones. If none has expired, it does nothing.
-func (d *departures) add(name string, incarnation uint64, now time.Time) {
-	if len(d.byName) >= maxDepartures {
-		for other, recorded := range d.byName {
-			if now.Sub(recorded.at) >= departureRetention {
-				delete(d.byName, other)
-			}
+func (d *departures) makeRoom(now time.Time) {
+	oldest := ""
+	for name, departure := range d.byName {
+		switch {
+		case departure.Expired(now):
+			delete(d.byName, name)
+		case oldest == "" || departure.At.Before(d.byName[oldest].At):
+			oldest = name
 		}
 	}
-	if len(d.byName) < maxDepartures {
-		d.byName[name] = departure{max(incarnation, d.byName[name].incarnation), now}
+	if len(d.byName) >= maxDepartures {
+		delete(d.byName, oldest)
 	}
 }
 
-// isOutdated reports whether an announcement is of an incarnation that has left. An
-// announcement without an incarnation may be of one that has left, so it is outdated as
-// well.
+// isOutdated reports whether an announcement is from before a departure.
 func (d *departures) isOutdated(upstream fleet.Upstream, now time.Time) bool {
-	last, found := d.byName[upstream.Name]
-	if !found || now.Sub(last.at) >= departureRetention {
-		return false
+	departure, found := d.byName[upstream.Name]
+
+	return found && !departure.Expired(now) && departure.Outdates(upstream)
+}
+
+// Departures returns the departures that late announcements are compared with, ordered by
+// name.
+func (e *Egress) Departures() []fleet.Departure {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	list := make([]fleet.Departure, 0, len(e.departed.byName))
+	for _, departure := range e.departed.byName {
+		if !departure.Expired(now) {
+			list = append(list, departure)
+		}
 	}
+	slices.SortFunc(list, func(a, b fleet.Departure) int { return cmp.Compare(a.Name, b.Name) })
+
+	return list
+}
 
-	return upstream.Incarnation <= last.incarnation
+// RestoreDepartures adds departures that an earlier run of the daemon heard of. Upstreams
+// that were announced again meanwhile, by announcements from before them, are removed.
+func (e *Egress) RestoreDepartures(list []fleet.Departure) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	for _, departure := range list {
+		if departure.Expired(now) {
+			continue
+		}
+		e.departed.add(departure, now)
+		if u := e.upstreams[departure.Name]; u != nil && u.announced && departure.Outdates(u.announcement) {
+			e.remove(u)
+		}
+		e.log.Info("departure of an upstream restored", "upstream", departure.Name, "run", departure.Incarnation,
+			"gone", departure.Gone, "sequence", departure.Sequence, "age", now.Sub(departure.At))
+	}
 }
--- a/internal/daemon/egress/membership.go
+++ b/internal/daemon/egress/membership.go
@@ -36,6 +36,11 @@
 	changed := !u.announced || old != upstream
 	e.resetEstimates(u, upstream, now)
 	u.announcement, u.announced, u.announcedAt = upstream, true, now
+	if upstream.State == fleet.Draining && upstream.Sequence > 0 {
+		e.departed.add(fleet.Departure{
+			Name: upstream.Name, Incarnation: upstream.Incarnation, Sequence: upstream.Sequence, At: now,
+		}, now)
+	}
 	if e.effectiveState(u) == fleet.Draining {
 		e.drainQueue(u, fleet.ReasonDraining, "the upstream is draining")
 	}
@@ -82,7 +87,7 @@
 		case known.Incarnation > upstream.Incarnation:
 			return false
 		case known.Incarnation < upstream.Incarnation:
-			e.departed.add(known.Name, known.Incarnation, now)
+			e.departed.add(fleet.Departure{Name: known.Name, Incarnation: known.Incarnation, Gone: true, At: now}, now)
 			e.remove(u)
 		case known.Name == upstream.Name && known.Sequence > upstream.Sequence:
 			return false
@@ -106,7 +111,12 @@
 	if announced && u.announcement.Incarnation > incarnation {
 		return false
 	}
-	e.departed.add(name, incarnation, time.Now())
+	now := time.Now()
+	if incarnation == 0 {
+		// It is whichever run has begun by now.
+		incarnation = uint64(max(now.UnixMilli(), 0)) //nolint:gosec // not negative
+	}
+	e.departed.add(fleet.Departure{Name: name, Incarnation: incarnation, Gone: true, At: now}, now)
 	if announced {
 		e.remove(u)
 	}
--- a/internal/daemon/server/local.go
+++ b/internal/daemon/server/local.go
@@ -24,10 +24,12 @@
 
 // startAnnouncements serves the local address, where the upstreams beside the daemon
 // announce themselves.
-func (d *Daemon) startAnnouncements(context.Context) error {
+func (d *Daemon) startAnnouncements(ctx context.Context) error {
 	router := echo.New()
 	if d.onPlatform() {
-		wire.RegisterAnnouncements(router, d.egress)
+		announcements := newAnnouncer(d.egress, d.registry, time.Now(), d.log)
+		wire.RegisterAnnouncements(router, announcements)
+		d.goroutines.Go(func() { announcements.restoreWhenKnown(ctx) })
 	} else {
 		upstream.Register(router, d.egress)
 	}
