Take no request that a planned stop would cut off

Cause: a stop had phases, but no request was compared with its end. Every request was taken until 3.5 s after SIGTERM, whatever time it may need, and all were cut at 5.6 s.

Evidence: the stopping daemon's log has 'stopping' and 'stopped' 5.6 s apart, with the requests begun 2.4 s before the latter; the upstreams' daemons ran on. Ruled out: the egress ends the attempt; the stop ends before its planned end.

Change: from the beginning of a stop, ingress and egress compare each request, and each attempt of another daemon, with the time of the cut (core/shutdown). What must have its answer by then is taken; the rest is refused at once as not run, with Retry-After. In the first 2 s, while callers may not have noticed, requests with later deadlines are taken if their usual duration fits four times over.

Why it works: a request that is taken ends by its deadline, which is before the cut.

--- a/internal/daemon/egress/egress.go
+++ b/internal/daemon/egress/egress.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/core/novelty"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/pace"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/queue"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/shutdown"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/suspicion"
 )
 
@@ -163,7 +164,9 @@
 	running int
 	// runningRepeats counts the running attempts that are repeats.
 	runningRepeats int
-	stopping       bool
+	// stopPlan is the schedule of the daemon's planned stop, nil while it does not stop.
+	stopPlan *shutdown.Plan
+	stopping bool
 	// idle is closed when the egress is stopping and no attempt is running.
 	idle chan struct{}
 }
@@ -265,6 +268,14 @@
 	return result
 }
 
+// PlanStop refuses, from now on, attempts that the planned stop would cut off. Others still
+// run, because the upstreams may well go on running.
+func (e *Egress) PlanStop(plan shutdown.Plan) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopPlan = &plan
+}
+
 // Stop refuses new and queued attempts as not run, and waits until the running attempts
 // have finished or the context has ended. It returns the number of attempts that are still
 // running.
--- a/internal/daemon/egress/membership_test.go
+++ b/internal/daemon/egress/membership_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/core/fleet"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/shutdown"
 )
 
 // TestMembership guards against new attempts at an upstream that is draining (R9), against
@@ -106,3 +107,35 @@
 		}
 	})
 }
+
+// Guards against an attempt of another daemon that a stopping daemon takes and then cuts off,
+// and against one that it refuses although it ends in time.
+func TestAttemptBeyondThePlannedStop(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, answerWith("ok", io.EOF))
+		now := time.Now()
+		f.PlanStop(shutdown.Plan{DrainUntil: now.Add(time.Second), CutAt: now.Add(3 * time.Second)})
+		sequence := uint64(0)
+		for _, tt := range []struct {
+			left, usual time.Duration
+			want        fleet.Outcome
+		}{
+			{3 * time.Second, 0, fleet.Ran},
+			{3*time.Second + 1, 0, fleet.NotRun},
+			{time.Minute, 500 * time.Millisecond, fleet.Ran},
+			{time.Minute, time.Second, fleet.NotRun},
+		} {
+			sequence++
+			a := attemptOf(sequence)
+			a.DeadlineRemaining, a.ExpectedDuration = tt.left, tt.usual
+			reply := f.Run(t.Context(), session, a)
+			if reply.Outcome != tt.want || tt.want == fleet.NotRun && reply.Reason != fleet.ReasonStopping {
+				t.Errorf("%v left, usually %v: got %v %s, want %v", tt.left, tt.usual, reply.Outcome, reply.Reason, tt.want)
+			}
+			if reply.Outcome == fleet.Ran {
+				_ = reply.Answer.Body.Close()
+			}
+		}
+	})
+}
--- a/internal/daemon/egress/run.go
+++ b/internal/daemon/egress/run.go
@@ -106,6 +106,8 @@
 	switch {
 	case e.stopping:
 		return fleet.Refuse(fleet.ReasonStopping, "the daemon is stopping"), false
+	case e.stopPlan != nil && !e.stopPlan.Takes(now, now.Add(a.DeadlineRemaining), a.ExpectedDuration):
+		return fleet.Refuse(fleet.ReasonStopping, "the daemon stops before the attempt's deadline"), false
 	case u == nil || !u.announced || a.Service != u.announcement.Service:
 		return fleet.Refuse(fleet.ReasonNoUpstream, "the upstream is not announced for this service"), false
 	case e.effectiveState(u) == fleet.Draining:
--- a/internal/daemon/ingress/ingress.go
+++ b/internal/daemon/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatshelf/kumquatshelf/internal/core/histogram"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/keys"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/routing"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/shutdown"
 	"github.com/kumquatshelf/kumquatshelf/internal/core/workers"
 )
 
@@ -127,6 +128,8 @@
 	// latency has one histogram for each outcome, of the time from a request's arrival
 	// to the start of its answer.
 	latency [fleet.Ran + 1]histogram.Histogram
+	// stopPlan is the schedule of the daemon's planned stop, nil while it does not stop.
+	stopPlan atomic.Pointer[shutdown.Plan]
 	// recheck triggers a check of all running streams. Its buffer holds one signal,
 	// since one check covers any number of signals.
 	recheck chan struct{}
@@ -167,6 +170,9 @@
 	in.installed.Store(&installed{configuration: configuration, table: routing.New(configuration.Routes)})
 }
 
+// PlanStop refuses, from now on, requests that the planned stop would cut off.
+func (in *Ingress) PlanStop(plan shutdown.Plan) { in.stopPlan.Store(&plan) }
+
 // Stop refuses new requests as not run and waits until the answers of all other
 // requests have been closed, or until ctx ends.
 func (in *Ingress) Stop(ctx context.Context) {
@@ -287,6 +293,10 @@
 	service := configuration.Services[j.service]
 	j.floor, j.deadline = capacityFloor(service.CapacityFloor), deadlineOf(*request, route, service)
 
+	if refusal := in.checkStop(&j); refusal.Reason != fleet.ReasonNone {
+		return j, refusal
+	}
+
 	if !route.AllowAnonymous && account.Rate > 0 {
 		return j, in.takeToken(ctx, &j)
 	}
@@ -294,6 +304,21 @@
 	return j, fleet.Reply{}
 }
 
+// checkStop refuses a request that the planned stop of the daemon would cut off. Other daemons
+// can serve it at once. The reply has no reason if the request may begin.
+func (in *Ingress) checkStop(j *job) fleet.Reply {
+	plan := in.stopPlan.Load()
+	// The reply to a request may come cancelTimeout after its deadline.
+	if plan == nil || plan.Takes(time.Now(), j.deadline.Add(cancelTimeout), in.balancer.expectedServiceTime(j.route.Name)) {
+		return fleet.Reply{}
+	}
+
+	refusal := fleet.Refuse(fleet.ReasonStopping, "the daemon stops before the request's deadline")
+	refusal.RetryAfter = minRetryAfter + in.balancer.jitter(retryAfterJitter)
+
+	return refusal
+}
+
 // outdatedRetryAfter is when a caller is told to come back if the configuration may be out
 // of date. Other daemons are in contact about once in this time.
 const outdatedRetryAfter = 500 * time.Millisecond
--- a/internal/daemon/server/stop.go
+++ b/internal/daemon/server/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kumquatshelf/kumquatshelf/internal/config/settings"
+	"github.com/kumquatshelf/kumquatshelf/internal/core/shutdown"
 )
 
 // Restart returns a channel that is closed when the daemon must be stopped and
@@ -30,7 +31,9 @@
 // Stop performs a planned stop: it sends callers away while the local upstreams are still
 // served, then refuses new attempts, lets requests in flight finish, and returns leases and
 // tokens. It takes at most stopTimeout, or Bounds.StopGrace less stopMargin if that is set;
-// attempts still running then are cut off.
+// attempts still running then are cut off. Requests and attempts whose deadlines are later
+// than that are refused from the start, or, if they usually take a moment, from the end of
+// the lame-duck period.
 func (d *Daemon) Stop(ctx context.Context) {
 	timeout := stopTimeout
 	if grace := time.Duration(d.stopGrace.Load()); grace > 0 {
@@ -40,12 +43,17 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
-	d.log.Info("stopping")
+	began, lameDuck := time.Now(), min(lameDuckPeriod, timeout/lameDuckDivisor)
+	plan := shutdown.Plan{DrainUntil: began.Add(lameDuck), CutAt: began.Add(timeout)}
+
+	d.log.Info("stopping", "requests_until", plan.DrainUntil, "cut_at", plan.CutAt)
+	d.ingress.PlanStop(plan)
+	d.egress.PlanStop(plan)
 	d.accepting.Store(false)
 	d.callerServer.Drain()
 
 	select {
-	case <-time.After(min(lameDuckPeriod, timeout/lameDuckDivisor)):
+	case <-time.After(lameDuck):
 	case <-ctx.Done():
 	}
 
