--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -254,7 +254,12 @@
 func (d *Daemon) startStore(context.Context) error {
 	var cleanUp func()
 
-	d.store, cleanUp = wire.NewStore(d.settings.Platform.String(), d.options.Store)
+	options := d.options.Store
+	if options.Log == nil {
+		options.Log = d.log
+	}
+
+	d.store, cleanUp = wire.NewStore(d.settings.Platform.String(), options)
 	d.onClose(cleanUp)
 	d.metrics.Set("Store", d.store.Variables())
 
