Believe a refusal only where it cannot be another request's

Cause: a refusal without an ID was taken for the answer to the request at hand, and its connection was used again, so that a copy of it answered the next request. On the fleet's own interface, where answers name no request, the same held for each refusal.

Change: the protocol says how an answer shows to which request it belongs (Protocol.Identify). A connection is used again only after an answer that names its request, and on the own interface not after a refusal. A refusal that names none, though the request has an ID, is believed as the first answer of its connection only; later the outcome is unknown. It is not waited on for another answer: an upstream that refuses without an ID would hold the request to its deadline.

--- a/internal/adapter/upstream/client.go
+++ b/internal/adapter/upstream/client.go
@@ -140,10 +140,10 @@
 		if err != nil {
 			return fleet.Answer{}, x.failureResult()
 		}
-		result := protocol.Classify(response.StatusCode, response.Header, attempt)
+		result, identity := protocol.Classify(response.StatusCode, response.Header, attempt), protocol.Identify(response.Header)
 		switch result {
 		case fleet.CallAnswered:
-			answer := x.newAnswer(response)
+			answer := x.newAnswer(response, identity != Unnamed)
 			answer.Signals = protocol.Signals(response.Header)
 
 			return answer, result
@@ -156,7 +156,15 @@
 				return fleet.Answer{}, result
 			}
 		case fleet.CallShed, fleet.CallMisdirected:
-			if x.discardBody(response) {
+			if identity == Unnamed && attempt.RequestID != "" && x.conn.used {
+				// It may belong to another request of this connection, and this one run.
+				x.closeConn()
+
+				return fleet.Answer{}, fleet.CallForeign
+			}
+			// A copy of a refusal that names no request would be taken for the answer to
+			// the connection's next request.
+			if identity == Identified && x.discardBody(response) {
 				x.releaseConn()
 			} else {
 				x.closeConn()
@@ -227,10 +235,11 @@
 	x.pool.release(x.conn)
 }
 
-// newAnswer returns the answer with a streaming body, without hop-by-hop headers.
-func (x *exchange) newAnswer(response *http.Response) fleet.Answer {
+// newAnswer returns the answer with a streaming body, without hop-by-hop headers. Reusable is
+// false if the connection must not carry another request.
+func (x *exchange) newAnswer(response *http.Response, reusable bool) fleet.Answer {
 	x.conn.applyKeepAlive(response.Header)
-	body := &answerBody{exchange: x, body: response.Body, reusable: !response.Close}
+	body := &answerBody{exchange: x, body: response.Body, reusable: reusable && !response.Close}
 	answer := fleet.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -30,6 +30,8 @@
 	limit io.LimitedReader
 	// maxIdle is how long the connection may be idle and still be reused.
 	maxIdle time.Duration
+	// used is set when the connection has carried a request with its answer.
+	used bool
 	// idleSince is when the latest answer ended.
 	idleSince time.Time
 	// broken is set when a write failed or the connection was aborted, so that it is
@@ -191,7 +193,7 @@
 
 		return
 	}
-	c.idleSince = time.Now()
+	c.used, c.idleSince = true, time.Now()
 	p.add(c)
 }
 
--- a/internal/adapter/upstream/protocol.go
+++ b/internal/adapter/upstream/protocol.go
@@ -18,10 +18,25 @@
 	// Classify returns the result of a call from the head of its answer: CallAnswered,
 	// CallShed, CallMisdirected, CallForeign or CallFailed.
 	Classify(status int, header http.Header, attempt fleet.Attempt) fleet.CallResult
+	// Identify returns how the head of an answer shows to which request it belongs.
+	Identify(header http.Header) Identity
 	// Signals returns what the upstream says about itself in the head of an answer.
 	Signals(header http.Header) fleet.UpstreamSignals
 }
 
+// Identity is how an answer shows to which request it belongs. An upstream may send an answer
+// once more, when the connection is in use for another request.
+type Identity int
+
+const (
+	// Identified answers name their request, so that a copy is recognized.
+	Identified Identity = iota
+	// Unnamed answers lack the name that others of the protocol have.
+	Unnamed
+	// Unidentifiable answers are of a protocol in which answers name no request.
+	Unidentifiable
+)
+
 // Headers of OwnProtocol.
 const (
 	// HeaderDeadline is a request header with the time until the deadline, in
@@ -62,6 +77,9 @@
 	return fleet.CallAnswered
 }
 
+// Identify returns Unidentifiable.
+func (OwnProtocol) Identify(http.Header) Identity { return Unidentifiable }
+
 // Signals reads HeaderLimit and HeaderLeaving.
 func (OwnProtocol) Signals(header http.Header) fleet.UpstreamSignals {
 	signals := ParseLimit(header.Get(HeaderLimit))
