--- a/internal/core/fleet/departure.go
+++ b/internal/core/fleet/departure.go
@@ -2,11 +2,12 @@
 
 import "time"
 
-// Departure is what an upstream said about its end. Announcements from before it don't bring
+// Departure is what an upstream said about its end. Announcements from before it do not bring
 // the upstream back.
 type Departure struct {
-	// Name and Incarnation identify the run of the upstream. Incarnation is 0 if it is not
-	// known.
+	// Name and Incarnation identify the run of the upstream. If it did not say which run it
+	// is, Incarnation is the time at which it was heard, in milliseconds of Unix time: a
+	// later run begins after it.
 	Name        string
 	Incarnation uint64
 	// Gone says that the run has left. Otherwise it drains since the announcement with the
--- a/internal/core/fleet/name.go
+++ b/internal/core/fleet/name.go
@@ -44,7 +44,7 @@
 		return fmt.Errorf("field Service %.64q: want %s", u.Service, NameForm)
 	case !ValidEndpoint(u.Address):
 		return fmt.Errorf("field Address %q: want an IP address and port, such as 127.0.0.1:8080", u.Address)
-	case !ValidSlots(u.Slots):
+	case u.Slots < 1 || u.Slots > MaxSlots:
 		return fmt.Errorf("field Slots %d: want 1 to %d", u.Slots, MaxSlots)
 	case u.State < Warming || u.State > Draining:
 		return fmt.Errorf("field State %d: want Warming, Ready, Shedding or Draining", u.State)
@@ -53,9 +53,6 @@
 	return nil
 }
 
-// ValidSlots reports whether an upstream can have that many slots.
-func ValidSlots(slots int) bool { return slots >= 1 && slots <= MaxSlots }
-
 // ValidEndpoint reports whether an address that came from outside the daemon can be dialled:
 // it has a port and is the address of one interface.
 func ValidEndpoint(address netip.AddrPort) bool {
--- a/internal/daemon/egress/membership.go
+++ b/internal/daemon/egress/membership.go
@@ -113,7 +113,7 @@
 	}
 	now := time.Now()
 	if incarnation == 0 {
-		// It is whichever run has begun by now.
+		// It is one of the runs that have begun by now.
 		incarnation = uint64(max(now.UnixMilli(), 0)) //nolint:gosec // not negative
 	}
 	e.departed.add(fleet.Departure{Name: name, Incarnation: incarnation, Gone: true, At: now}, now)
